--- /dev/null
+++ b/src/asio-timer-service.cc
@@ -0,0 +1,48 @@
+// Timers on Asio. See asio-timer-service.h.
+
+#include "kumquatpitch/asio-timer-service.h"
+
+namespace kumquatpitch {
+
+TimePoint AsioTimerService::now() const {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+TimerSubscription
+AsioTimerService::subscribe(Duration Period,
+                            std::function<void(TimePoint)> Callback) {
+  const std::shared_ptr<Entry> Subscriber =
+      std::make_shared<Entry>(Context_, Period, std::move(Callback));
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  const TimerSubscription Id = NextId_++;
+  Entries_.emplace(Id, Subscriber);
+  arm(Id, Subscriber);
+  return Id;
+}
+
+void AsioTimerService::unsubscribe(TimerSubscription Subscription) {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  const std::map<TimerSubscription, std::shared_ptr<Entry>>::iterator It =
+      Entries_.find(Subscription);
+  if (It == Entries_.end())
+    return;
+  It->second->Timer_.cancel();
+  Entries_.erase(It);
+}
+
+void AsioTimerService::arm(TimerSubscription Id,
+                           const std::shared_ptr<Entry> &Subscriber) {
+  Subscriber->Timer_.expires_after(Subscriber->Period_);
+  Subscriber->Timer_.async_wait(
+      [this, Id, Subscriber](const std::error_code &Error) {
+        if (Error)
+          return;
+        Subscriber->Callback_(now());
+        const std::lock_guard<std::mutex> Lock(Mutex_);
+        if (Entries_.count(Id))
+          arm(Id, Subscriber);
+      });
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/host-list.cc
@@ -0,0 +1,75 @@
+// Parses the host list. See host-list.h.
+
+#include "kumquatpitch/host-list.h"
+
+#include "kumquatpitch/json-reader.h"
+
+#include <algorithm>
+
+namespace kumquatpitch {
+
+namespace {
+
+using detail::JsonReader;
+
+constexpr std::size_t MaxHosts = 20'000;
+constexpr std::size_t MaxCustomersOfHost = 10'000;
+constexpr std::uint64_t MaxPort = 65'535;
+constexpr std::size_t MaxAddressBytes = 45;
+
+HostRecord readHost(JsonReader &Reader) {
+  HostRecord Read;
+  Read.Id_ = Reader.name<HostTag>("id");
+  Read.Region_ = Reader.name<RegionTag>("region");
+  Read.Domain_ = Reader.name<FailureDomainTag>("failure_domain");
+  Read.Address_ = Reader.text("address", MaxAddressBytes);
+  Read.PeerPort_ = Reader.number("peer_port", 1, MaxPort);
+  Read.OperatorPort_ = Reader.number("operator_port", 1, MaxPort);
+  Reader.objects(
+      "customer_ports", 0, MaxCustomersOfHost, [&](JsonReader &Element) {
+        const CustomerName Customer = Element.name<CustomerTag>("customer");
+        const std::uint16_t Port = Element.number("port", 1, MaxPort);
+        if (!Read.CustomerPorts_.emplace(Customer, Port).second)
+          Element.reject("customer", "is there twice");
+      });
+  const bool IsLeaving = Reader.choice("state", {"live", "leaving"}) == 1;
+  Read.State_ = IsLeaving ? HostState::Leaving : HostState::Live;
+  return Read;
+}
+
+HostList readList(JsonReader &Reader) {
+  HostList Read;
+  Read.Version_ = Reader.number("version", 1, UINT64_MAX);
+  Reader.objects("hosts", 0, MaxHosts, [&](JsonReader &Element) {
+    Read.Hosts_.push_back(readHost(Element));
+  });
+  const auto ById = [](const HostRecord &Left, const HostRecord &Right) {
+    return Left.Id_ < Right.Id_;
+  };
+  std::sort(Read.Hosts_.begin(), Read.Hosts_.end(), ById);
+  const auto SameId = [](const HostRecord &Left, const HostRecord &Right) {
+    return Left.Id_ == Right.Id_;
+  };
+  const std::vector<HostRecord>::const_iterator It =
+      std::adjacent_find(Read.Hosts_.begin(), Read.Hosts_.end(), SameId);
+  if (It != Read.Hosts_.end())
+    Reader.reject("hosts", "id \"" + It->Id_.str() + "\" is there twice");
+  return Read;
+}
+
+} // namespace
+
+Result<HostList> parseHostList(std::string_view Json) {
+  return detail::parseDocument(Json, readList);
+}
+
+const HostRecord *findHost(const HostList &List, const HostId &Id) {
+  const auto IsBefore = [](const HostRecord &Each, const HostId &Key) {
+    return Each.Id_ < Key;
+  };
+  const std::vector<HostRecord>::const_iterator It =
+      std::lower_bound(List.Hosts_.begin(), List.Hosts_.end(), Id, IsBefore);
+  return It != List.Hosts_.end() && It->Id_ == Id ? &*It : nullptr;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/manifest.cc
@@ -0,0 +1,111 @@
+// Parses and writes manifests. See manifest.h.
+
+#include "kumquatpitch/manifest.h"
+
+#include "kumquatpitch/contract.h"
+#include "kumquatpitch/json-reader.h"
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace kumquatpitch {
+
+namespace {
+
+using detail::JsonReader;
+
+constexpr std::uint64_t FormatVersion = 1;
+constexpr std::size_t MaxParts = 20'000;
+constexpr std::size_t MaxPartNameBytes = 80;
+constexpr std::size_t HashDigits = 32;
+
+bool isValidPartName(std::string_view Name) {
+  for (const std::string_view Kind : {"contract/", "service/"})
+    if (Name.substr(0, Kind.size()) == Kind)
+      return isValidName(Name.substr(Kind.size()));
+  return false;
+}
+
+bool isHash(std::string_view Text) {
+  return Text.size() == HashDigits &&
+         Text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+ManifestPart readPart(JsonReader &Reader) {
+  ManifestPart Read;
+  Read.Name_ = Reader.text("name", MaxPartNameBytes);
+  if (!isValidPartName(Read.Name_))
+    Reader.reject("name", "must be contract/NAME or service/NAME");
+  Read.Version_ = Reader.number("version", 1, UINT64_MAX);
+  Read.Hash_ = Reader.text("hash", HashDigits);
+  if (!isHash(Read.Hash_))
+    Reader.reject("hash", "must be 32 digits of 0-9 and a-f");
+  Read.Bytes_ = Reader.number("bytes", 1, MaxDocumentBytes);
+  return Read;
+}
+
+void sortParts(JsonReader &Reader, Manifest &Read) {
+  const auto ByName = [](const ManifestPart &Left, const ManifestPart &Right) {
+    return Left.Name_ < Right.Name_;
+  };
+  std::sort(Read.Parts_.begin(), Read.Parts_.end(), ByName);
+  const auto SameName = [](const ManifestPart &Left,
+                           const ManifestPart &Right) {
+    return Left.Name_ == Right.Name_;
+  };
+  const std::vector<ManifestPart>::const_iterator It =
+      std::adjacent_find(Read.Parts_.begin(), Read.Parts_.end(), SameName);
+  if (It != Read.Parts_.end())
+    Reader.reject("parts", "name \"" + It->Name_ + "\" is there twice");
+}
+
+Manifest readManifest(JsonReader &Reader) {
+  Manifest Read;
+  Reader.number("format", FormatVersion, FormatVersion);
+  Read.Version_ = Reader.number("version", 1, UINT64_MAX);
+  Reader.objects("parts", 0, MaxParts, [&](JsonReader &Element) {
+    Read.Parts_.push_back(readPart(Element));
+  });
+  sortParts(Reader, Read);
+  return Read;
+}
+
+} // namespace
+
+Result<Manifest> parseManifest(std::string_view Json) {
+  return detail::parseDocument(Json, readManifest);
+}
+
+std::string formatManifest(const Manifest &Value) {
+  nlohmann::json Parts = nlohmann::json::array();
+  for (const ManifestPart &Part : Value.Parts_)
+    Parts.push_back({{"name", Part.Name_},
+                     {"version", Part.Version_},
+                     {"hash", Part.Hash_},
+                     {"bytes", Part.Bytes_}});
+  const nlohmann::json Document = {{"format", FormatVersion},
+                                   {"version", Value.Version_},
+                                   {"parts", std::move(Parts)}};
+  return Document.dump();
+}
+
+const ManifestPart *findPart(const Manifest &Value, std::string_view Name) {
+  const auto IsBefore = [](const ManifestPart &Each, std::string_view Key) {
+    return Each.Name_ < Key;
+  };
+  const std::vector<ManifestPart>::const_iterator It = std::lower_bound(
+      Value.Parts_.begin(), Value.Parts_.end(), Name, IsBefore);
+  return It != Value.Parts_.end() && It->Name_ == Name ? &*It : nullptr;
+}
+
+std::string contentHash(std::string_view Bytes) {
+  const XXH128_hash_t Hash = XXH3_128bits(Bytes.data(), Bytes.size());
+  char Text[HashDigits + 1];
+  std::snprintf(Text, sizeof(Text), "%016" PRIx64 "%016" PRIx64, Hash.high64,
+                Hash.low64);
+  return Text;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/test/result-code-test.cc
@@ -0,0 +1,25 @@
+// Result codes: names, and the table in the docs.
+
+#include "kumquatpitch/result-code.h"
+
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+TEST_GROUP(ResultCode){};
+
+// Guards against two codes that share a name in logs and answers.
+TEST(ResultCode, NamesAreUnique) {
+  std::set<std::string> Names;
+  for (const ResultCode Code : allResultCodes())
+    CHECK(Names.insert(resultCodeName(Code)).second);
+}
+
+TEST(ResultCode, ExitStatusIsTheArea) {
+  CHECK_EQUAL(0, exitStatus(ResultCode::Ok));
+  CHECK_EQUAL(2, exitStatus(ResultCode::DocumentInvalid));
+  CHECK_EQUAL(9, exitStatus(ResultCode::InternalError));
+}
