Add the catalog of one configuration version

Documents refer to each other, and a contract that names another customer's service would give it access to that customer's backend servers. The catalog checks references for each customer, since references never cross customers; one customer's invalid document then cannot hold back another's change. Considered: one check over all documents, which does exactly that.

Seen to fail with the guard taken out: without the comparison of owners, Catalog.RefusesAServiceOfAnotherCustomer fails; without the comparison of names, Catalog.RefusesAPartUnderAnotherName fails.

--- /dev/null
+++ b/src/catalog.cc
@@ -0,0 +1,134 @@
+// Checks references between documents. See catalog.h.
+
+#include "kumquatpitch/catalog.h"
+
+namespace kumquatpitch {
+
+namespace {
+
+using ContractPtr = std::shared_ptr<const Contract>;
+using EntryPtr = std::shared_ptr<const ServiceEntry>;
+using EntryMap = std::map<ServiceName, EntryPtr>;
+
+Failure inDocument(std::string_view Part, const std::string &Problem,
+                   ResultCode Code = ResultCode::DocumentInvalid) {
+  return Failure{Code, std::string(Part) + ": " + Problem};
+}
+
+/// Runs a parser and puts the part's name before its failure message.
+template <class T>
+Result<std::shared_ptr<const T>>
+parsePart(std::string_view Name, std::string_view Json,
+          Result<T> (*Parse)(std::string_view)) {
+  std::shared_ptr<const T> Parsed;
+  const Failure Cause = handleFailure(
+      [&]() -> Result<Failure> {
+        BOOST_LEAF_AUTO(Value, Parse(Json));
+        Parsed = std::make_shared<const T>(std::move(Value));
+        return Failure{ResultCode::Ok, ""};
+      },
+      [](const Failure &Error) { return Error; });
+  if (!Parsed)
+    return boost::leaf::new_error(
+        inDocument(Name, Cause.Message_, Cause.Code_));
+  return Parsed;
+}
+
+Result<EntryMap> indexEntries(const std::vector<EntryPtr> &Entries) {
+  EntryMap Index;
+  for (const EntryPtr &Entry : Entries)
+    if (!Index.emplace(Entry->Service_, Entry).second)
+      return boost::leaf::new_error(
+          inDocument(partName(Entry->Service_), "service: is there twice"));
+  return Index;
+}
+
+Result<CustomerConfig> selectEntries(ContractPtr Terms, const EntryMap &Index) {
+  CustomerConfig Config;
+  for (std::size_t At = 0; At < Terms->Services_.size(); ++At) {
+    const ServiceName &Service = Terms->Services_[At].Service_;
+    const std::string Field = "services[" + std::to_string(At) + "].name: ";
+    const EntryMap::const_iterator It = Index.find(Service);
+    if (It == Index.end())
+      return boost::leaf::new_error(
+          inDocument(partName(Terms->Customer_),
+                     Field + "there is no " + partName(Service)));
+    if (It->second->Customer_ != Terms->Customer_)
+      return boost::leaf::new_error(inDocument(
+          partName(Terms->Customer_), Field + "service \"" + Service.str() +
+                                          "\" belongs to another customer"));
+    Config.Services_.emplace(Service, It->second);
+  }
+  Config.Contract_ = std::move(Terms);
+  return Config;
+}
+
+} // namespace
+
+std::string partName(const CustomerName &Customer) {
+  return "contract/" + Customer.str();
+}
+
+std::string partName(const ServiceName &Service) {
+  return "service/" + Service.str();
+}
+
+Result<ContractPtr> parseContractPart(std::string_view Name,
+                                      std::string_view Json) {
+  BOOST_LEAF_AUTO(Parsed, parsePart<Contract>(Name, Json, parseContract));
+  if (partName(Parsed->Customer_) != Name)
+    return boost::leaf::new_error(
+        inDocument(Name, "customer: must be the one in the part's name"));
+  return Parsed;
+}
+
+Result<EntryPtr> parseServicePart(std::string_view Name,
+                                  std::string_view Json) {
+  BOOST_LEAF_AUTO(Parsed,
+                  parsePart<ServiceEntry>(Name, Json, parseServiceEntry));
+  if (partName(Parsed->Service_) != Name)
+    return boost::leaf::new_error(
+        inDocument(Name, "service: must be the one in the part's name"));
+  return Parsed;
+}
+
+Result<CustomerConfig>
+buildCustomerConfig(ContractPtr Terms, const std::vector<EntryPtr> &Entries) {
+  BOOST_LEAF_AUTO(Index, indexEntries(Entries));
+  return selectEntries(std::move(Terms), Index);
+}
+
+Result<std::shared_ptr<const Catalog>>
+buildCatalog(std::uint64_t Version, const std::vector<ContractPtr> &Contracts,
+             const std::vector<EntryPtr> &Entries) {
+  BOOST_LEAF_AUTO(Index, indexEntries(Entries));
+  Catalog Built;
+  Built.Version_ = Version;
+  for (const ContractPtr &Terms : Contracts) {
+    BOOST_LEAF_AUTO(Config, selectEntries(Terms, Index));
+    if (!Built.Customers_.emplace(Terms->Customer_, std::move(Config)).second)
+      return boost::leaf::new_error(
+          inDocument(partName(Terms->Customer_), "customer: is there twice"));
+  }
+  return std::make_shared<const Catalog>(std::move(Built));
+}
+
+const Contract *findContract(const Catalog &Value,
+                             const CustomerName &Customer) {
+  const std::map<CustomerName, CustomerConfig>::const_iterator It =
+      Value.Customers_.find(Customer);
+  return It == Value.Customers_.end() ? nullptr : It->second.Contract_.get();
+}
+
+const ServiceEntry *findService(const Catalog &Value,
+                                const ServiceName &Service) {
+  for (const std::pair<const CustomerName, CustomerConfig> &Each :
+       Value.Customers_) {
+    const EntryMap::const_iterator It = Each.second.Services_.find(Service);
+    if (It != Each.second.Services_.end())
+      return It->second.get();
+  }
+  return nullptr;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/test/catalog-test.cc
@@ -0,0 +1,95 @@
+// Catalog: references between documents.
+
+#include "kumquatpitch/catalog.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+static std::shared_ptr<const Contract>
+contractOf(const char *Customer, const std::vector<std::string> &Services) {
+  Contract Terms;
+  Terms.Customer_ = CustomerName(Customer);
+  for (const std::string &Name : Services) {
+    Terms.Services_.emplace_back();
+    Terms.Services_.back().Service_ = ServiceName(Name);
+  }
+  return std::make_shared<const Contract>(std::move(Terms));
+}
+
+static std::shared_ptr<const ServiceEntry> entryOf(const char *Service,
+                                                   const char *Customer) {
+  ServiceEntry Entry;
+  Entry.Service_ = ServiceName(Service);
+  Entry.Customer_ = CustomerName(Customer);
+  return std::make_shared<const ServiceEntry>(std::move(Entry));
+}
+
+template <class Body> static std::string problemOf(Body &&Run) {
+  return handleFailure(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(Run());
+        return std::string();
+      },
+      [](const Failure &Cause) { return Cause.Message_; });
+}
+
+TEST_GROUP(Catalog){};
+
+TEST(Catalog, FindsDocumentsOfItsVersion) {
+  const std::shared_ptr<const Catalog> Built =
+      buildCatalog(7, {contractOf("imigongo", {"ledger"})},
+                   {entryOf("ledger", "imigongo")})
+          .value();
+  CHECK_EQUAL(7, Built->Version_);
+  CHECK(findContract(*Built, CustomerName("imigongo")) != nullptr);
+  CHECK(findService(*Built, ServiceName("ledger")) != nullptr);
+  CHECK(findService(*Built, ServiceName("workshop")) == nullptr);
+}
+
+// Guards against a customer that reaches another customer's backend servers.
+TEST(Catalog, RefusesAServiceOfAnotherCustomer) {
+  STRCMP_EQUAL("contract/imigongo: services[1].name: service \"stem-room\" "
+               "belongs to another customer",
+               problemOf([] {
+                 return buildCatalog(
+                     1, {contractOf("imigongo", {"ledger", "stem-room"})},
+                     {entryOf("ledger", "imigongo"),
+                      entryOf("stem-room", "altar-flowers")});
+               }).c_str());
+}
+
+// Guards against a contract in force whose service has no targets.
+TEST(Catalog, RefusesAServiceWithoutEntry) {
+  STRCMP_EQUAL("contract/imigongo: services[0].name: there is no "
+               "service/ledger",
+               problemOf([] {
+                 return buildCatalog(1, {contractOf("imigongo", {"ledger"})},
+                                     {});
+               }).c_str());
+}
+
+// Guards against one document that is published under another's name.
+TEST(Catalog, RefusesAPartUnderAnotherName) {
+  const char *const Json =
+      R"({"service":"ledger","customer":"imigongo","version":1,
+          "floor_targets":0,"detection_profile":"fast-detection",
+          "region":"kigali","targets":[{"id":"t1","address":"127.0.0.1",
+          "port":1,"failure_domain":"gasabo","slots":2,"connections":400,
+          "state":"serving"}]})";
+  STRCMP_EQUAL("", problemOf([&] {
+                     return parseServicePart("service/ledger", Json);
+                   }).c_str());
+  STRCMP_EQUAL("service/workshop: service: must be the one in the part's name",
+               problemOf([&] {
+                 return parseServicePart("service/workshop", Json);
+               }).c_str());
+  STRCMP_EQUAL("service/ledger: version: is missing",
+               problemOf([&] {
+                 return parseServicePart(
+                     "service/ledger",
+                     R"({"service":"ledger","customer":"imigongo"})");
+               }).c_str());
+}
