--- /dev/null
+++ b/src/http-platform-reader.cc
@@ -0,0 +1,163 @@
+// Platform reads over cpp-httplib. See http-platform-reader.h.
+
+#include "kumquatpitch/http-platform-reader.h"
+
+#include "kumquatpitch/contract.h"
+
+#include <charconv>
+#include <httplib.h>
+
+namespace kumquatpitch {
+
+namespace {
+
+constexpr std::size_t WorkerThreads = 4;
+constexpr std::size_t MaxQueuedCalls = 256;
+constexpr std::chrono::milliseconds StopInterval{10};
+constexpr const char *VersionHeader = "Kumquatpitch-Version";
+constexpr int StatusOk = 200;
+constexpr int StatusNoContent = 204;
+constexpr int StatusNotFound = 404;
+
+/// False when the text is not a whole number.
+bool parseNumber(const std::string &Text, std::uint64_t &Value) {
+  const char *const End = Text.data() + Text.size();
+  const std::from_chars_result Parsed =
+      std::from_chars(Text.data(), End, Value);
+  return !Text.empty() && Parsed.ec == std::errc() && Parsed.ptr == End;
+}
+
+std::uint64_t wireBytes(const httplib::Response &Reply) {
+  std::uint64_t Length = 0;
+  return parseNumber(Reply.get_header_value("Content-Length"), Length)
+             ? Length
+             : Reply.body.size();
+}
+
+PlatformStatus statusOf(const httplib::Response &Reply,
+                        std::uint64_t &Version) {
+  if (Reply.status == StatusNotFound)
+    return PlatformStatus::UnknownKey;
+  if (Reply.status == StatusNoContent)
+    return PlatformStatus::Unchanged;
+  if (Reply.status != StatusOk)
+    return PlatformStatus::Unreachable;
+  const bool IsDelimited =
+      Reply.has_header("Content-Length") ||
+      Reply.get_header_value("Transfer-Encoding") == "chunked";
+  if (!IsDelimited ||
+      !parseNumber(Reply.get_header_value(VersionHeader), Version) ||
+      Reply.body.empty())
+    return PlatformStatus::Malformed;
+  return PlatformStatus::Value;
+}
+
+} // namespace
+
+HttpPlatformReader::HttpPlatformReader(const Endpoint &Platform,
+                                       Duration Timeout)
+    : Timeout_(Timeout) {
+  for (std::size_t Index = 0; Index < WorkerThreads; ++Index) {
+    Connections_.push_back(
+        std::make_unique<httplib::Client>(Platform.Address_, Platform.Port_));
+    httplib::Client &Connection = *Connections_.back();
+    Connection.set_tcp_nodelay(true);
+    Connection.set_keep_alive(true);
+    Connection.set_connection_timeout(Timeout);
+    Connection.set_write_timeout(Timeout);
+  }
+  Working_ = Connections_.size();
+  for (const std::unique_ptr<httplib::Client> &Connection : Connections_)
+    Threads_.emplace_back([this, &Connection] { work(*Connection); });
+}
+
+HttpPlatformReader::~HttpPlatformReader() {
+  std::unique_lock<std::mutex> Lock(Mutex_);
+  Stopped_ = true;
+  Changed_.notify_all();
+  // A call that has not opened its socket yet does not notice stop(), so stop()
+  // is repeated until each thread has ended.
+  while (Working_ > 0) {
+    Lock.unlock();
+    for (const std::unique_ptr<httplib::Client> &Connection : Connections_)
+      Connection->stop();
+    Lock.lock();
+    Changed_.wait_for(Lock, StopInterval, [this] { return Working_ == 0; });
+  }
+  Lock.unlock();
+  for (std::thread &Thread : Threads_)
+    Thread.join();
+  for (Call &Left : Queue_)
+    Left.OnReply_(
+        PlatformReply{Left.Key_, PlatformStatus::Unreachable, 0, "", 0});
+}
+
+void HttpPlatformReader::read(const std::string &Key, Callback OnReply) {
+  enqueue(Call{Key, "/v1/read/" + Key, Duration(0), std::move(OnReply)});
+}
+
+void HttpPlatformReader::watch(const std::string &Key, std::uint64_t After,
+                               Duration Wait, Callback OnReply) {
+  enqueue(Call{Key,
+               "/v1/watch/" + Key + "?after=" + std::to_string(After) +
+                   "&wait_ms=" + std::to_string(toMilliseconds(Wait)),
+               Wait, std::move(OnReply)});
+}
+
+void HttpPlatformReader::enqueue(Call Next) {
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    if (!Stopped_ && Queue_.size() < MaxQueuedCalls) {
+      Queue_.push_back(std::move(Next));
+      Changed_.notify_one();
+      return;
+    }
+  }
+  Next.OnReply_(
+      PlatformReply{Next.Key_, PlatformStatus::Unreachable, 0, "", 0});
+}
+
+void HttpPlatformReader::work(httplib::Client &Connection) {
+  while (true) {
+    Call Next;
+    {
+      std::unique_lock<std::mutex> Lock(Mutex_);
+      Changed_.wait(Lock, [this] { return Stopped_ || !Queue_.empty(); });
+      if (Stopped_) {
+        --Working_;
+        Changed_.notify_all();
+        return;
+      }
+      Next = std::move(Queue_.front());
+      Queue_.pop_front();
+    }
+    Next.OnReply_(perform(Connection, Next));
+  }
+}
+
+PlatformReply HttpPlatformReader::perform(httplib::Client &Connection,
+                                          const Call &Next) const {
+  PlatformReply Reply{Next.Key_, PlatformStatus::Unreachable, 0, "", 0};
+  Connection.set_read_timeout(Next.Wait_ + Timeout_);
+  std::string Body;
+  const httplib::Result Got =
+      Connection.Get(Next.Path_, httplib::Headers{{"Accept-Encoding", "gzip"}},
+                     [&](const char *Data, std::size_t Size) {
+                       Body.append(Data, Size);
+                       return Body.size() <= MaxDocumentBytes;
+                     });
+  if (!Got) {
+    if (Body.size() > MaxDocumentBytes)
+      Reply.Status_ = PlatformStatus::Malformed;
+    return Reply;
+  }
+  httplib::Response Whole = *Got;
+  Whole.body = std::move(Body);
+  Reply.Status_ = statusOf(Whole, Reply.Version_);
+  Reply.WireBytes_ = wireBytes(Whole);
+  if (Reply.Status_ == PlatformStatus::Value)
+    Reply.Body_ = std::move(Whole.body);
+  return Reply;
+}
+
+} // namespace kumquatpitch
--- a/test/catalog-test.cc
+++ b/test/catalog-test.cc
@@ -30,7 +30,8 @@
 template <class Body> static std::string problemOf(Body &&Run) {
   return handleFailure(
       [&]() -> Result<std::string> {
-        BOOST_LEAF_CHECK(Run());
+        if (decltype(Run()) Done = Run(); !Done)
+          return Done.error();
         return std::string();
       },
       [](const Failure &Cause) { return Cause.Message_; });
