Serve a request from end to end through separate processes

Adds the request flow in the core, the front on Asio with bounded buffers and workers, the client towards backend servers, settings, the serve and check commands, a backend server stand-in and a small fleet of processes for tests.

--- /dev/null
+++ b/include/kumquatpitch/host-core.h
@@ -0,0 +1,102 @@
+// All decisions of one daemon. Io hands it events with the time and carries out
+// the actions that it gives back. Many can live in one process. Not
+// synchronized: the owner calls it from one thread at a time.
+
+#ifndef KUMQUATPITCH_HOST_CORE_H
+#define KUMQUATPITCH_HOST_CORE_H
+
+#include "kumquatpitch/address-answer.h"
+#include "kumquatpitch/catalog.h"
+#include "kumquatpitch/core-action.h"
+#include "kumquatpitch/host-list.h"
+#include "kumquatpitch/logger.h"
+#include "kumquatpitch/random-source.h"
+#include "kumquatpitch/request-flow.h"
+#include "kumquatpitch/service-runtime.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatpitch {
+
+/// What a daemon knows of itself from its settings.
+struct HostIdentity {
+  HostId Id_;
+  Region Region_;
+  FailureDomain Domain_;
+  Incarnation Incarnation_ = 0;
+
+  bool operator==(const HostIdentity &) const = default;
+};
+
+class HostCore {
+public:
+  HostCore(HostIdentity Self, RandomSource &Random, Logger &Log,
+           TimePoint Start);
+
+  /// Takes a configuration version; older ones are ignored.
+  void applyCatalog(std::shared_ptr<const Catalog> Value, TimePoint Now);
+
+  /// Takes the platform's host list; older versions are ignored.
+  void applyHosts(HostList List, TimePoint Now);
+
+  /// Largest body of a request on a route of the contract, in bytes; 0 when
+  /// there is no such route.
+  std::uint64_t maxBodyBytes(const CustomerName &Customer,
+                             std::string_view Method,
+                             std::string_view Target) const;
+
+  /// Decides on a new request.
+  FlowStep admit(const CallerRequest &Request, TimePoint Now);
+
+  CoreActions finishAttempt(FlowId Flow, const AttemptReport &Report,
+                            TimePoint Now);
+  CoreActions abandon(FlowId Flow, TimePoint Now);
+  bool mayWrite(FlowId Flow, TimePoint Now) const;
+
+  /// To be called every TickPeriod.
+  CoreActions tick(TimePoint Now);
+
+  /// Which hosts to use. Fails with ServiceUnknown or NotReady.
+  Result<AddressAnswer> addresses(const CustomerName &Customer,
+                                  const ServiceName &Service, TimePoint Now);
+
+  /// True when the host has a configuration and is not leaving.
+  bool isReady() const { return Catalog_ && !IsLeaving_; }
+  bool isLeaving() const { return IsLeaving_; }
+
+  /// Starts a planned stop.
+  void beginStop(TimePoint Now);
+  /// True when no caller can need this host any more.
+  bool mayStop(TimePoint Now) const;
+
+  std::size_t requestsInProgress() const { return Flow_.inProgress(); }
+
+private:
+  using ServiceMap = std::map<ServiceName, std::shared_ptr<ServiceRuntime>>;
+
+  void renewServices(TimePoint Now);
+  FlowStep refuseEarly(ResultCode Code, const std::string &Message);
+  std::string tokenFor(const HostId &Host, const ServiceName &Service,
+                       TimePoint Now);
+
+  const HostIdentity Self_;
+  RandomSource &Random_;
+  Logger &Log_;
+  std::shared_ptr<const Catalog> Catalog_;
+  HostList Hosts_;
+  ServiceMap Services_;
+  RequestFlow Flow_;
+  bool IsLeaving_ = false;
+  TimePoint LeavingSince_;
+};
+
+/// Period of HostCore::tick.
+constexpr Duration TickPeriod = std::chrono::milliseconds(20);
+
+} // namespace kumquatpitch
+
+#endif
--- /dev/null
+++ b/include/kumquatpitch/host-daemon.h
@@ -0,0 +1,61 @@
+// The daemon of an entry host: builds the core and the io around it from
+// settings, and runs until the planned stop is done.
+
+#ifndef KUMQUATPITCH_HOST_DAEMON_H
+#define KUMQUATPITCH_HOST_DAEMON_H
+
+#include "kumquatpitch/asio-timer-service.h"
+#include "kumquatpitch/backend-client.h"
+#include "kumquatpitch/glog-logger.h"
+#include "kumquatpitch/host-core.h"
+#include "kumquatpitch/http-front.h"
+#include "kumquatpitch/http-platform-reader.h"
+#include "kumquatpitch/manifest.h"
+#include "kumquatpitch/request-driver.h"
+#include "kumquatpitch/settings.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+
+namespace kumquatpitch {
+
+class HostDaemon {
+public:
+  explicit HostDaemon(Settings Given);
+  ~HostDaemon();
+  HostDaemon(const HostDaemon &) = delete;
+  HostDaemon &operator=(const HostDaemon &) = delete;
+
+  /// Runs until SIGTERM or SIGINT and the end of the planned stop. Fails with
+  /// SettingsInvalid when a port cannot be bound.
+  Result<void> run();
+
+private:
+  void tick(TimePoint Now);
+  void pollPlatform();
+  void onManifest(const PlatformReply &Reply);
+  void onPart(const PlatformReply &Reply);
+  void onHosts(const PlatformReply &Reply);
+  void applyWhenComplete();
+  void beginStop();
+
+  const Settings Settings_;
+  asio::io_context Context_;
+  AsioTimerService Timers_;
+  GlogLogger Log_;
+  SeededRandom Random_;
+  HostCore Core_;
+  BackendClient Backends_;
+  RequestDriver Driver_;
+  HttpFront Front_;
+  HttpPlatformReader Platform_;
+  asio::signal_set Signals_;
+  std::mutex LoadMutex_; ///< Guards the two below.
+  Manifest Loading_;     ///< The version that parts are being read for.
+  std::map<std::string, std::string> Parts_; ///< Bodies by part name.
+  TimePoint StopAt_ = TimePoint::max(); ///< When a planned stop is cut short.
+};
+
+} // namespace kumquatpitch
+
+#endif
--- /dev/null
+++ b/include/kumquatpitch/http-front.h
@@ -0,0 +1,119 @@
+// Accepts callers' connections with Asio, reads whole requests and writes
+// answers. A worker thread is taken only while a whole request is handled, so
+// idle, slow and silent callers hold none. Decides nothing about requests.
+
+#ifndef KUMQUATPITCH_HTTP_FRONT_H
+#define KUMQUATPITCH_HTTP_FRONT_H
+
+#include "kumquatpitch/http-message.h"
+#include "kumquatpitch/logger.h"
+#include "kumquatpitch/name.h"
+#include "kumquatpitch/peer-transport.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/thread_pool.hpp>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace kumquatpitch {
+
+/// Tells a handler when its caller has left.
+class CallerPresence {
+public:
+  /// Calls `Callback` once when the caller leaves; at once when it has left
+  /// already. An empty function ends the interest.
+  void onGone(std::function<void()> Callback);
+
+  /// Called by the front when the connection broke or closed.
+  void markGone();
+
+private:
+  std::mutex Mutex_;
+  bool IsGone_ = false;
+  std::function<void()> Callback_;
+};
+
+/// Answers callers' requests.
+class CallerHandler {
+public:
+  virtual ~CallerHandler() = default;
+
+  /// Largest body for a request, in bytes.
+  virtual std::uint64_t maxBodyBytes(const CustomerName &Customer,
+                                     std::string_view Method,
+                                     std::string_view Target) = 0;
+
+  /// Handles one request on a worker thread, which it may block.
+  virtual HttpAnswer handle(const CustomerName &Customer,
+                            const HttpRequest &Request,
+                            CallerPresence &Presence) = 0;
+};
+
+/// Bounds of the front.
+struct FrontLimits {
+  std::size_t MaxConnections_ = 4'000;
+  std::size_t MaxWorkers_ = 64;                   ///< Requests handled at once.
+  std::size_t MaxBufferBytes_ = 64 << 20;         ///< Held for all connections.
+  std::chrono::milliseconds RequestTime_{10'000}; ///< First to last byte.
+  std::chrono::milliseconds IdleTime_{60'000};
+  std::chrono::milliseconds WriteTime_{10'000};
+
+  bool operator==(const FrontLimits &) const = default;
+};
+
+namespace detail {
+class CallerSession;
+} // namespace detail
+
+class HttpFront {
+public:
+  HttpFront(asio::io_context &Context, CallerHandler &Handler,
+            FrontLimits Limits);
+  ~HttpFront();
+  HttpFront(const HttpFront &) = delete;
+  HttpFront &operator=(const HttpFront &) = delete;
+
+  /// Listens for one customer's callers. Fails with SettingsInvalid when the
+  /// address cannot be bound; the message names it.
+  Result<void> listen(const CustomerName &Customer, const Endpoint &Where);
+
+  /// Accepts no more connections and closes idle ones after their next answer.
+  void stopAccepting();
+
+  /// Waits until no handler runs. No handler starts afterwards.
+  void join();
+
+  std::size_t connections() const { return Connections_; }
+  std::size_t busyWorkers() const { return BusyWorkers_; }
+
+private:
+  friend class detail::CallerSession;
+
+  struct Listener {
+    Listener(asio::io_context &Context, CustomerName Name)
+        : Acceptor_(Context), Customer_(std::move(Name)) {}
+
+    asio::ip::tcp::acceptor Acceptor_;
+    CustomerName Customer_;
+  };
+
+  void accept(const std::shared_ptr<Listener> &On);
+
+  asio::io_context &Context_;
+  CallerHandler &Handler_;
+  const FrontLimits Limits_;
+  asio::thread_pool Workers_;
+  std::vector<std::shared_ptr<Listener>> Listeners_;
+  std::atomic<bool> IsStopping_{false};
+  std::atomic<std::size_t> Connections_{0}; ///< At most MaxConnections_.
+  std::atomic<std::size_t> BusyWorkers_{0}; ///< At most MaxWorkers_.
+  std::atomic<std::size_t> HeldBytes_{0};   ///< About MaxBufferBytes_ at most.
+};
+
+} // namespace kumquatpitch
+
+#endif
--- /dev/null
+++ b/src/backend-client.cc
@@ -0,0 +1,226 @@
+// Attempts at backend servers. See backend-client.h.
+
+#include "kumquatpitch/backend-client.h"
+
+#include "kumquatpitch/backend-connection.h"
+
+#include <charconv>
+
+namespace kumquatpitch {
+
+using detail::BackendConnection;
+using detail::Exchange;
+
+namespace {
+
+constexpr const char *DeadlineHeader = "Kumquatpitch-Deadline-Ms";
+constexpr const char *AttemptHeader = "Kumquatpitch-Attempt-Id";
+
+/// Fields that concern the caller's connection or the system only.
+bool isDroppedField(const std::string &Name, const HeaderFields &Fields) {
+  if (isHopByHop(Name, Fields))
+    return true;
+  for (const char *Own :
+       {"Content-Length", "Expect", "Host", "Kumquatpitch-Token",
+        "Kumquatpitch-Deadline-Ms", "Kumquatpitch-Attempt-Id"})
+    if (strcasecmp(Name.c_str(), Own) == 0)
+      return true;
+  return false;
+}
+
+httplib::Request makeRequest(const AttemptOrder &Order,
+                             const HttpRequest &Request, Duration Remaining) {
+  httplib::Request Out;
+  Out.method = Request.Method_;
+  Out.path = Request.Target_;
+  Out.body = Request.Body_;
+  for (const HeaderField &Field : Request.Headers_)
+    if (!isDroppedField(Field.first, Request.Headers_))
+      Out.headers.emplace(Field.first, Field.second);
+  const std::optional<std::string> Host = findHeader(Request.Headers_, "Host");
+  if (Host)
+    Out.headers.emplace("Host", *Host);
+  Out.headers.emplace(AttemptHeader, Order.WireId_);
+  Out.headers.emplace(DeadlineHeader, std::to_string(std::max<std::int64_t>(
+                                          1, toMilliseconds(Remaining))));
+  return Out;
+}
+
+bool carries(const HttpAnswer &Answer, const Marker &Mark) {
+  if (Mark.Header_.empty())
+    return false;
+  const std::optional<std::string> Value =
+      findHeader(Answer.Headers_, Mark.Header_);
+  return Value && *Value == Mark.Value_;
+}
+
+std::optional<double> reportedLoad(const HttpAnswer &Answer,
+                                   const std::string &Header) {
+  constexpr double FullLoad = 100.0;
+  if (Header.empty())
+    return std::nullopt;
+  const std::optional<std::string> Text = findHeader(Answer.Headers_, Header);
+  double Load = 0;
+  if (!Text ||
+      std::from_chars(Text->data(), Text->data() + Text->size(), Load).ec !=
+          std::errc() ||
+      !(Load >= 0 && Load <= FullLoad))
+    return std::nullopt;
+  return Load;
+}
+
+/// True when the answer's end was told by a length or by chunked coding. An
+/// answer that ends by closing cannot be told from a cut one.
+bool isDelimited(const httplib::Response &Response, const std::string &Method) {
+  if (Method == "HEAD" || Response.status == 204 || Response.status == 304)
+    return true;
+  const std::size_t Lengths = Response.get_header_value_count("Content-Length");
+  const std::size_t Codings =
+      Response.get_header_value_count("Transfer-Encoding");
+  if (Lengths + Codings != 1)
+    return false;
+  if (Lengths == 1)
+    return Response.get_header_value("Content-Length") ==
+           std::to_string(Response.body.size());
+  return strcasecmp(Response.get_header_value("Transfer-Encoding").c_str(),
+                    "chunked") == 0;
+}
+
+HttpAnswer makeAnswer(httplib::Response &Response, const std::string &Method) {
+  HttpAnswer Answer;
+  Answer.Status_ = Response.status;
+  Answer.Reason_ = Response.reason;
+  Answer.Body_ = std::move(Response.body);
+  const HeaderFields All(Response.headers.begin(), Response.headers.end());
+  for (const HeaderField &Field : All)
+    if (!isHopByHop(Field.first, All) &&
+        (Method == "HEAD" || Response.status == 304 ||
+         strcasecmp(Field.first.c_str(), "Content-Length") != 0))
+      Answer.Headers_.push_back(Field);
+  return Answer;
+}
+
+AttemptEnd classifyFailure(const Exchange &Seen, bool DeadlinePassed) {
+  if (Seen.IsForbidden_)
+    return AttemptEnd::NotWritten;
+  if (Seen.IsTooLarge_)
+    return AttemptEnd::TooLarge;
+  if (!Seen.IsConnected_)
+    return AttemptEnd::ConnectFailed;
+  return DeadlinePassed ? AttemptEnd::TimedOut : AttemptEnd::Broken;
+}
+
+} // namespace
+
+void AttemptCanceller::cancel(AttemptEnd Reason) {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  if (Reason_ != AttemptEnd::Answered)
+    return;
+  Reason_ = Reason;
+  if (Connection_ && Connection_->mayBeWriting())
+    Connection_->stop();
+}
+
+bool AttemptCanceller::attach(BackendConnection *Connection) {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  if (Reason_ != AttemptEnd::Answered)
+    return false;
+  Connection_ = Connection;
+  return true;
+}
+
+AttemptEnd AttemptCanceller::detach() {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  Connection_ = nullptr;
+  return Reason_;
+}
+
+BackendClient::BackendClient(const TimerService &Timers, std::size_t MaxKept)
+    : Timers_(Timers), MaxKept_(MaxKept) {}
+
+BackendClient::~BackendClient() = default;
+
+AttemptResult BackendClient::run(const AttemptOrder &Order,
+                                 const HttpRequest &Request,
+                                 const std::function<bool()> &MayWrite,
+                                 AttemptCanceller &Canceller) {
+  AttemptResult Result;
+  const TimePoint Start = Timers_.now();
+  const Duration Remaining = Order.Deadline_ - Start;
+  if (Remaining <= Duration::zero())
+    return Result;
+  std::unique_ptr<BackendConnection> Connection = take(Order);
+  httplib::Request Sent = makeRequest(Order, Request, Remaining);
+  if (!Canceller.attach(Connection.get()))
+    return Result;
+  Exchange Seen =
+      Connection->exchange(Sent, Order.MaxAnswerBytes_, Remaining, MayWrite);
+  const AttemptEnd Reason = Canceller.detach();
+  const TimePoint End = Timers_.now();
+  Result.Report_.Latency_ = End - Start;
+  Result.Report_.NewConnection_ = Seen.IsNew_;
+  if (Seen.Error_ != httplib::Error::Success) {
+    Result.Report_.End_ = classifyFailure(Seen, End >= Order.Deadline_);
+    const bool IsWritten = !provesNotRun(Result.Report_.End_);
+    if (IsWritten && Reason != AttemptEnd::Answered)
+      Result.Report_.End_ = Reason;
+    return Result;
+  }
+  if (!isDelimited(Seen.Response_, Request.Method_)) {
+    Result.Report_.End_ = AttemptEnd::NotDelimited;
+    return Result;
+  }
+  Result.Answer_ = makeAnswer(Seen.Response_, Request.Method_);
+  Result.Report_.HttpStatus_ = Result.Answer_.Status_;
+  Result.Report_.Load_ = reportedLoad(Result.Answer_, Order.LoadHeader_);
+  Result.Report_.Draining_ = carries(Result.Answer_, Order.Drain_);
+  if (!Order.EchoHeader_.empty() &&
+      findHeader(Result.Answer_.Headers_, Order.EchoHeader_) != Order.WireId_) {
+    Result.Report_.End_ = AttemptEnd::Mismatched;
+    Result.Answer_ = HttpAnswer();
+    return Result;
+  }
+  Result.Report_.End_ = carries(Result.Answer_, Order.Refusal_)
+                            ? AttemptEnd::Refused
+                            : AttemptEnd::Answered;
+  give(std::move(Connection));
+  return Result;
+}
+
+std::unique_ptr<BackendConnection>
+BackendClient::take(const AttemptOrder &Order) {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  Kept &Entry = Kept_[Order.Address_];
+  if (Order.FreshConnection_ || Entry.Idle_.empty())
+    return std::make_unique<BackendConnection>(Order.Address_,
+                                               Entry.Generation_);
+  std::unique_ptr<BackendConnection> Connection = std::move(Entry.Idle_.back());
+  Entry.Idle_.pop_back();
+  return Connection;
+}
+
+void BackendClient::give(std::unique_ptr<BackendConnection> Connection) {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  Kept &Entry = Kept_[Connection->address()];
+  if (Connection->generation() == Entry.Generation_ &&
+      Entry.Idle_.size() < MaxKept_ && Connection->is_socket_open() != 0)
+    Entry.Idle_.push_back(std::move(Connection));
+}
+
+void BackendClient::closeKept(const Endpoint &Address) {
+  std::vector<std::unique_ptr<BackendConnection>> Closed;
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  Kept &Entry = Kept_[Address];
+  ++Entry.Generation_;
+  Closed.swap(Entry.Idle_);
+}
+
+std::size_t BackendClient::idleConnections() const {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  std::size_t Count = 0;
+  for (const std::pair<const Endpoint, Kept> &Each : Kept_)
+    Count += Each.second.Idle_.size();
+  return Count;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/request-flow.cc
@@ -0,0 +1,243 @@
+// Requests from admission to outcome. See request-flow.h.
+
+#include "kumquatpitch/request-flow.h"
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+
+namespace kumquatpitch {
+
+namespace {
+
+/// Refused where nothing can have been sent for the request.
+Step refuseNotRun(ResultCode Code, const std::string &Message) {
+  return Refusal{Code, Outcome::NotRun, Message, {}};
+}
+
+ResultCode codeOf(AttemptEnd End) {
+  switch (End) {
+  case AttemptEnd::Answered:
+    return ResultCode::Ok;
+  case AttemptEnd::Refused:
+    return ResultCode::BackendRefused;
+  case AttemptEnd::ConnectFailed:
+    return ResultCode::BackendUnreachable;
+  case AttemptEnd::NotWritten:
+    return ResultCode::DeadlinePassed;
+  case AttemptEnd::TimedOut:
+    return ResultCode::BackendTimeout;
+  case AttemptEnd::Broken:
+    return ResultCode::BackendBroken;
+  case AttemptEnd::Cancelled:
+    return ResultCode::CallerGone;
+  case AttemptEnd::NotDelimited:
+    return ResultCode::AnswerNotDelimited;
+  case AttemptEnd::TooLarge:
+    return ResultCode::AnswerTooLarge;
+  case AttemptEnd::Mismatched:
+    return ResultCode::AnswerMismatched;
+  }
+  return ResultCode::InternalError;
+}
+
+std::string wireId(Incarnation Run, AttemptId Attempt) {
+  char Text[40];
+  std::snprintf(Text, sizeof(Text), "%016" PRIx64 "-%" PRIu64, Run, Attempt);
+  return Text;
+}
+
+/// Addresses of a group, for callers that came to a host outside it.
+std::vector<Endpoint> addressesOf(const Group &Hosts) {
+  std::vector<Endpoint> Addresses;
+  for (const GroupMember &Member : Hosts.Members_)
+    Addresses.push_back(Member.Address_);
+  return Addresses;
+}
+
+Outcome outcomeOf(const Step &Last) {
+  if (std::holds_alternative<Deliver>(Last))
+    return Outcome::Ran;
+  return std::get<Refusal>(Last).Outcome_;
+}
+
+ResultCode codeOf(const Step &Last) {
+  if (std::holds_alternative<Deliver>(Last))
+    return ResultCode::Ok;
+  return std::get<Refusal>(Last).Code_;
+}
+
+bool isLast(const Step &Next) {
+  return std::holds_alternative<Deliver>(Next) ||
+         std::holds_alternative<Refusal>(Next);
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(HostId Self, Incarnation Run, TimePoint Start)
+    : Self_(std::move(Self)), Incarnation_(Run), Registry_(Self_, Run, Start) {}
+
+FlowStep RequestFlow::admit(const RoutedRequest &Routed, TimePoint Now) {
+  const FlowId Id = NextFlow_++;
+  const FlowMap::iterator At = Flows_.emplace(Id, FlowState()).first;
+  FlowState &Entry = At->second;
+  Entry.Service_ = Routed.Service_;
+  Entry.IsIdempotent_ = Routed.IsIdempotent_;
+  Entry.Arrived_ = Now;
+  const Duration Longest = Entry.Service_->terms().Deadline_;
+  Entry.Deadline_ =
+      Now + std::min(Longest, Routed.Request_.Deadline_.value_or(Longest));
+  Step First = bind(Routed, Entry, Now);
+  if (std::holds_alternative<Wait>(First))
+    First = start(Id, Entry, Now);
+  if (isLast(First))
+    close(At, First, 0, Now);
+  return FlowStep{Id, First};
+}
+
+/// Checks the token of a request that may not be repeated. This comes before
+/// every other refusal as `not-run`, so that a delayed copy of a refused
+/// request never runs. Gives Wait when the request may go on.
+Step RequestFlow::bind(const RoutedRequest &Routed, FlowState &Entry,
+                       TimePoint Now) {
+  const CallerRequest &Request = Routed.Request_;
+  if (Entry.IsIdempotent_ || Request.Token_.empty())
+    return Wait();
+  return handleFailure(
+      [&]() -> Result<Step> {
+        BOOST_LEAF_ASSIGN(Entry.Token_, parseToken(Request.Token_));
+        Entry.Key_ =
+            RequestKey{Request.Customer_, Entry.Service_->entry().Service_,
+                       Request.RequestId_, Request.Resend_};
+        const BeginAnswer Begun =
+            Registry_.begin(Entry.Token_, Entry.Key_, Now);
+        Entry.IsBound_ = Begun.Run_;
+        if (Begun.Run_)
+          return Step(Wait());
+        return Step(Refusal{Begun.Code_, Begun.Outcome_,
+                            "the request is bound by its token",
+                            addressesOf(Entry.Service_->config().Group_)});
+      },
+      [](const Failure &Cause) {
+        // A resend with a damaged token may have run under the true one.
+        return Step(Refusal{Cause.Code_, Outcome::Unknown, Cause.Message_, {}});
+      });
+}
+
+Step RequestFlow::start(FlowId Id, FlowState &Entry, TimePoint Now) {
+  static_cast<void>(Id);
+  ServiceRuntime &Service = *Entry.Service_;
+  if (!Service.isAssigned()) {
+    Refusal Elsewhere{ResultCode::WrongHost, Outcome::NotRun,
+                      "this host does not serve the service",
+                      addressesOf(Service.config().Group_)};
+    return Elsewhere;
+  }
+  if (Now >= Entry.Deadline_)
+    return refuse(Entry, ResultCode::DeadlinePassed, "the deadline has passed");
+  const std::optional<TargetId> Chosen = Service.pick(Entry.Tried_, Now);
+  if (!Chosen)
+    return refuse(Entry, ResultCode::NoTarget, "no target has a free slot");
+  const Target *Found = findTarget(Service.entry(), *Chosen);
+  Entry.Attempt_ = NextAttempt_++;
+  Entry.Target_ = *Chosen;
+  Entry.Tried_.insert(*Chosen);
+  Entry.IsCancelled_ = false;
+  ++Entry.Attempts_;
+  Service.attemptStarted(*Chosen, Entry.Attempt_, Now);
+  AttemptOrder Order;
+  Order.Id_ = Entry.Attempt_;
+  Order.WireId_ = wireId(Incarnation_, Entry.Attempt_);
+  Order.Service_ = Service.entry().Service_;
+  Order.Target_ = *Chosen;
+  Order.Address_ = Found->Address_;
+  Order.Deadline_ = Entry.Deadline_;
+  // A kept connection may be closing at the other end, which would leave a
+  // request that may not be repeated as unknown.
+  Order.FreshConnection_ = !Entry.IsIdempotent_;
+  Order.MaxAnswerBytes_ = Service.terms().MaxAnswerBytes_;
+  Order.EchoHeader_ = Service.entry().EchoHeader_;
+  Order.Refusal_ = Service.entry().Refusal_;
+  Order.Drain_ = Service.entry().Drain_;
+  Order.LoadHeader_ = Service.entry().LoadHeader_;
+  return Order;
+}
+
+Step RequestFlow::refuse(const FlowState &Entry, ResultCode Code,
+                         const std::string &Message) {
+  if (Entry.MayHaveRun_)
+    return Refusal{Code, Outcome::Unknown, Message, {}};
+  return refuseNotRun(Code, Message);
+}
+
+CoreActions RequestFlow::finishAttempt(FlowId Flow, const AttemptReport &Report,
+                                       TimePoint Now) {
+  const FlowMap::iterator At = Flows_.find(Flow);
+  if (At == Flows_.end() || At->second.Attempt_ == 0)
+    return {};
+  FlowState &Entry = At->second;
+  Entry.Service_->attemptEnded(Entry.Target_, Entry.Attempt_, Report, Now);
+  Entry.Attempt_ = 0;
+  const bool IsAnswered = Report.End_ == AttemptEnd::Answered;
+  const Step Next = IsAnswered ? Step(Deliver())
+                               : afterFailure(Flow, Entry, Report.End_, Now);
+  if (isLast(Next))
+    close(At, Next, Report.HttpStatus_, Now);
+  return {FlowStep{Flow, Next}};
+}
+
+Step RequestFlow::afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End,
+                               TimePoint Now) {
+  if (!provesNotRun(End))
+    Entry.MayHaveRun_ = true;
+  const bool MayTryAgain =
+      End == AttemptEnd::ConnectFailed && Entry.Attempts_ < 2;
+  if (MayTryAgain && !Entry.IsAbandoned_) {
+    Step Again = start(Id, Entry, Now);
+    if (std::holds_alternative<AttemptOrder>(Again))
+      return Again;
+  }
+  return refuse(Entry, codeOf(End), "the attempt at the backend server failed");
+}
+
+void RequestFlow::close(FlowMap::iterator At, const Step &Last, int HttpStatus,
+                        TimePoint Now) {
+  FlowState &Entry = At->second;
+  if (Entry.IsBound_)
+    Registry_.finish(Entry.Token_, Entry.Key_, outcomeOf(Last), Now);
+  Entry.Service_->burn().record(RequestEnd{codeOf(Last), outcomeOf(Last),
+                                           HttpStatus, Now - Entry.Arrived_},
+                                Now);
+  Flows_.erase(At);
+}
+
+CoreActions RequestFlow::abandon(FlowId Flow, TimePoint) {
+  const FlowMap::iterator At = Flows_.find(Flow);
+  if (At == Flows_.end())
+    return {};
+  At->second.IsAbandoned_ = true;
+  if (At->second.Attempt_ == 0)
+    return {};
+  return {CancelAttempt{At->second.Attempt_, AttemptEnd::Cancelled}};
+}
+
+bool RequestFlow::mayWrite(FlowId Flow, TimePoint Now) const {
+  const FlowMap::const_iterator At = Flows_.find(Flow);
+  return At != Flows_.end() && !At->second.IsAbandoned_ &&
+         !At->second.IsCancelled_ && Now < At->second.Deadline_;
+}
+
+CoreActions RequestFlow::tick(TimePoint Now) {
+  CoreActions Actions;
+  for (std::pair<const FlowId, FlowState> &Each : Flows_) {
+    FlowState &Entry = Each.second;
+    if (Entry.Attempt_ == 0 || Entry.IsCancelled_ || Now < Entry.Deadline_)
+      continue;
+    Entry.IsCancelled_ = true;
+    Actions.push_back(CancelAttempt{Entry.Attempt_, AttemptEnd::TimedOut});
+  }
+  Registry_.expire(Now);
+  return Actions;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/test/child-process.cc
@@ -0,0 +1,87 @@
+// Starts and ends processes for tests. See child-process.h.
+
+#include "child-process.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <utility>
+
+namespace kumquatpitch::test {
+
+ChildProcess::ChildProcess(const std::vector<std::string> &Arguments,
+                           const std::string &LogFile) {
+  std::vector<char *> Argv;
+  Argv.reserve(Arguments.size() + 1);
+  for (const std::string &Each : Arguments)
+    Argv.push_back(const_cast<char *>(Each.c_str()));
+  Argv.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  const int Error =
+      posix_spawn(&Pid_, Argv[0], &Actions, nullptr, Argv.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Error != 0)
+    throw std::runtime_error("cannot start " + Arguments[0]);
+}
+
+ChildProcess::ChildProcess(ChildProcess &&Other) noexcept
+    : Pid_(std::exchange(Other.Pid_, 0)), Status_(Other.Status_) {}
+
+ChildProcess::~ChildProcess() {
+  if (Pid_ == 0)
+    return;
+  signal(SIGKILL);
+  wait();
+}
+
+void ChildProcess::signal(int Number) const {
+  if (Pid_ != 0)
+    kill(Pid_, Number);
+}
+
+int ChildProcess::wait() {
+  if (Pid_ != 0) {
+    int Raw = 0;
+    waitpid(Pid_, &Raw, 0);
+    Status_ = WIFEXITED(Raw) ? WEXITSTATUS(Raw) : -WTERMSIG(Raw);
+    Pid_ = 0;
+  }
+  return Status_;
+}
+
+bool ChildProcess::isRunning() {
+  if (Pid_ == 0)
+    return false;
+  int Raw = 0;
+  if (waitpid(Pid_, &Raw, WNOHANG) == 0)
+    return true;
+  Status_ = WIFEXITED(Raw) ? WEXITSTATUS(Raw) : -WTERMSIG(Raw);
+  Pid_ = 0;
+  return false;
+}
+
+int freePort() {
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof(Address);
+  const bool IsBound =
+      bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
+      getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) == 0;
+  close(Socket);
+  if (!IsBound)
+    throw std::runtime_error("no free port");
+  return ntohs(Address.sin_port);
+}
+
+} // namespace kumquatpitch::test
