--- a/test/backend-stand-in.cc
+++ b/test/backend-stand-in.cc
@@ -1,11 +1,14 @@
 // A backend server for tests and the demo. Runs requests in a few slots, counts
 // them by request id, and misbehaves on command:
 //   backend-stand-in --port P [--name N] [--slots S] [--service-ms MS]
-//   POST /stand-in/mode?set=MODE   normal, stall, drain, shed, cut,
-//   undelimited,
-//                                  crossed, error, slow
+//   POST /stand-in/mode?set=MODE
 //   GET  /stand-in/runs            JSON: how often each request id ran
-// Health is answered with 200 in every mode, as gray failures do.
+// Modes: normal; stall (answers no request until the mode changes); slow;
+// error (status 500); shed (refuses with the marker); drain (answers with the
+// drain marker); crossed (another attempt's id); cut and cut-chunked (the body
+// ends early); undelimited (the body ends by closing); chunked; silent
+// (requests on connections that were open before are never answered, new ones
+// are). Health is answered with 200 in every mode, as gray failures do.
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -18,6 +21,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <thread>
 
 namespace {
@@ -60,6 +64,8 @@
   void setMode(const std::string &Mode) {
     const std::lock_guard<std::mutex> Lock(Mutex_);
     Mode_ = Mode;
+    if (Mode == "silent")
+      SilentPorts_ = SeenPorts_;
     Changed_.notify_all();
   }
 
@@ -97,7 +103,11 @@
   std::string enter(const httplib::Request &Request) {
     std::unique_lock<std::mutex> Lock(Mutex_);
     Peak_ = std::max(Peak_, ++InProgress_);
-    Changed_.wait(Lock, [this] { return Mode_ != "stall"; });
+    SeenPorts_.insert(Request.remote_port);
+    Changed_.wait(Lock, [&] {
+      return Mode_ != "stall" &&
+             !(Mode_ == "silent" && SilentPorts_.count(Request.remote_port));
+    });
     if (Mode_ != "shed") {
       ++Total_;
       ++Runs_[Request.get_header_value("Kumquatpitch-Request-Id")];
@@ -153,6 +163,8 @@
   std::condition_variable Changed_;
   std::string Mode_ = "normal";
   std::map<std::string, int> Runs_;
+  std::set<int> SeenPorts_;   ///< Callers' ports of all connections.
+  std::set<int> SilentPorts_; ///< Those that get no answer when silent.
   int InProgress_ = 0;
   int Peak_ = 0;
   int Total_ = 0;
--- a/test/request-process-test.cc
+++ b/test/request-process-test.cc
@@ -1,24 +1,20 @@
-// The way of a request through separate processes.
+// The way of a request through separate processes, and answers that must not be
+// delivered.
 
-#include "test-fleet.h"
+#include "shared-fleet.h"
 
+#include <atomic>
 #include <string>
+#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpitch::test;
 
-static FleetPlan plan() {
-  FleetPlan Plan;
-  Plan.BinaryDir_ = BINARY_DIR;
-  return Plan;
-}
-
 TEST_GROUP(RequestProcess){};
 
 TEST(RequestProcess, ServesARequestFromEndToEnd) {
-  TestFleet Fleet(plan());
-  CHECK(Fleet.waitReady());
+  TestFleet &Fleet = sharedFleet();
   const std::optional<std::vector<AddressedHost>> Hosts = Fleet.askAddresses(1);
   CHECK(Hosts.has_value());
   CHECK_EQUAL(3, Hosts->size());
@@ -28,3 +24,77 @@
   CHECK_EQUAL(200, Got.Status_);
   CHECK(Got.Body_.find("GET /proofs/7?page=2 officer-1") != std::string::npos);
 }
+
+TEST(RequestProcess, DeliversChunkedAnswersWhole) {
+  TestFleet &Fleet = sharedFleet();
+  setAllBackends(Fleet, "chunked");
+  const CallerAnswer Got = TestFleet::call(
+      Fleet.customerPort(0), "POST", "/orders/1", {}, std::string(70'000, 'x'));
+  CHECK_EQUAL(200, Got.Status_);
+  CHECK(Got.Body_.find(std::string(70'000, 'x')) != std::string::npos);
+}
+
+// Guards against part of an answer, or another request's, reaching a caller.
+TEST(RequestProcess, NeverDeliversAnswersThatAreNotWholeOrNotItsOwn) {
+  TestFleet &Fleet = sharedFleet();
+  const std::pair<const char *, const char *> Cases[] = {
+      {"cut", "4004"},
+      {"cut-chunked", "4004"},
+      {"undelimited", "4005"},
+      {"crossed", "4007"}};
+  for (const std::pair<const char *, const char *> &Case : Cases) {
+    setAllBackends(Fleet, Case.first);
+    const CallerAnswer Got = TestFleet::call(Fleet.customerPort(0), "POST",
+                                             "/orders/1", {}, "plaque");
+    STRCMP_EQUAL_TEXT(Case.second, Got.Code_.c_str(), Case.first);
+    STRCMP_EQUAL_TEXT("unknown", Got.Outcome_.c_str(), Case.first);
+  }
+}
+
+TEST(RequestProcess, SaysNotRunWhenTheBackendServerRefused) {
+  TestFleet &Fleet = sharedFleet();
+  setAllBackends(Fleet, "shed");
+  const CallerAnswer Got =
+      TestFleet::call(Fleet.customerPort(0), "POST", "/orders/1",
+                      {{"Kumquatpitch-Request-Id", "shed"}}, "plaque");
+  STRCMP_EQUAL("4002", Got.Code_.c_str());
+  STRCMP_EQUAL("not-run", Got.Outcome_.c_str());
+  CHECK_EQUAL(0, Fleet.runs()["shed"]);
+}
+
+TEST(RequestProcess, AnswersByTheDeadlineOfTheCaller) {
+  TestFleet &Fleet = sharedFleet();
+  setAllBackends(Fleet, "stall");
+  const CallerAnswer Got =
+      TestFleet::call(Fleet.customerPort(0), "POST", "/orders/1",
+                      {{"Kumquatpitch-Deadline-Ms", "300"}}, "plaque");
+  setAllBackends(Fleet, "normal");
+  STRCMP_EQUAL("4003", Got.Code_.c_str());
+  STRCMP_EQUAL("unknown", Got.Outcome_.c_str());
+}
+
+// Guards against callers' answers that get mixed up under load.
+TEST(RequestProcess, EachOfManyCallersGetsItsOwnAnswer) {
+  TestFleet &Fleet = sharedFleet();
+  std::atomic<int> Wrong{0};
+  std::vector<std::thread> Callers;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Callers.emplace_back([&Fleet, &Wrong, Caller] {
+      httplib::Client Client("127.0.0.1", Fleet.customerPort(Caller % 3));
+      Client.set_keep_alive(true);
+      Client.set_tcp_nodelay(true);
+      for (int Count = 0; Count < 50; ++Count) {
+        const std::string Name =
+            std::to_string(Caller) + "-" + std::to_string(Count);
+        const httplib::Result Got =
+            Client.Get("/proofs/" + Name, {{"X-Caller", Name}});
+        if (!Got || Got->status != 200 ||
+            Got->body.find("/proofs/" + Name + " " + Name + " ") ==
+                std::string::npos)
+          ++Wrong;
+      }
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  CHECK_EQUAL(0, Wrong.load());
+}
--- a/test/test-fleet.cc
+++ b/test/test-fleet.cc
@@ -241,11 +241,17 @@
   return All;
 }
 
+static int counterOf(int Port, const char *Name) {
+  const httplib::Result Got = makeClient(Port).Get("/stand-in/runs");
+  return Got ? nlohmann::json::parse(Got->body)[Name].get<int>() : 0;
+}
+
 int TestFleet::peakInProgress(int Index) {
-  const httplib::Result Got =
-      makeClient(BackendPorts_.at(Index)).Get("/stand-in/runs");
-  return Got ? nlohmann::json::parse(Got->body)["peak_in_progress"].get<int>()
-             : 0;
+  return counterOf(BackendPorts_.at(Index), "peak_in_progress");
+}
+
+int TestFleet::inProgress(int Index) {
+  return counterOf(BackendPorts_.at(Index), "in_progress");
 }
 
 bool TestFleet::waitReady() {
--- a/test/test-fleet.h
+++ b/test/test-fleet.h
@@ -77,6 +77,7 @@
   /// How often each request id ran, over all backend servers.
   std::map<std::string, int> runs();
   int peakInProgress(int Index);
+  int inProgress(int Index);
 
   int customerPort(int Index) const { return Ports_.at(Index).Customer_; }
   int operatorPort(int Index) const { return Ports_.at(Index).Operator_; }
