Divide target slots among the hosts of a group

Cause: hosts that each count on a target's full slots oversubscribe it. slotPlan rotates each target's slots and connections over the group from the target's hash, seeded by the service. Ruled out: rotation by a running total over targets. It balances hosts exactly, but a removed target would move slots of all later targets, and moved slots are unusable for the wait.

--- /dev/null
+++ b/src/slot-plan.cc
@@ -0,0 +1,104 @@
+// Rotation of slots over a group. See slot-plan.h.
+
+#include "kumquatpitch/slot-plan.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace kumquatpitch {
+
+namespace {
+
+/// Count of numbers i below `Total` for which (Start + i) mod Members equals
+/// Member.
+std::uint32_t rotatedPart(std::uint32_t Total, std::uint64_t Start,
+                          std::uint64_t Member, std::uint64_t Members) {
+  const std::uint64_t First = (Member + Members - Start) % Members;
+  return First >= Total ? 0 : (Total - First - 1) / Members + 1;
+}
+
+SlotShare smaller(const SlotShare &Left, const SlotShare &Right) {
+  return {std::min(Left.Slots_, Right.Slots_),
+          std::min(Left.Connections_, Right.Connections_)};
+}
+
+bool isMore(const SlotShare &Left, const SlotShare &Right) {
+  return Left.Slots_ > Right.Slots_ || Left.Connections_ > Right.Connections_;
+}
+
+} // namespace
+
+SlotShare SlotPlan::ownSlots(const HostId &Host, const TargetId &Target) const {
+  const auto Owner = Shares_.find(Host);
+  if (Owner == Shares_.end())
+    return {};
+  const SlotShares::const_iterator It = Owner->second.find(Target);
+  return It == Owner->second.end() ? SlotShare{} : It->second;
+}
+
+SlotShares SlotPlan::ownShares(const HostId &Host) const {
+  const auto Owner = Shares_.find(Host);
+  return Owner == Shares_.end() ? SlotShares{} : Owner->second;
+}
+
+HostWeights SlotPlan::weights() const {
+  HostWeights Weights;
+  for (const std::pair<const HostId, SlotShares> &Host : Shares_)
+    for (const SlotShares::value_type &Each : Host.second)
+      Weights[Host.first] += Each.second.Slots_;
+  return Weights;
+}
+
+SlotPlan slotPlan(const ServiceEntry &Entry, const Group &Hosts) {
+  SlotPlan Plan;
+  const std::uint64_t Members = Hosts.Members_.size();
+  // Seeded by the service, since services may use the same target ids and the
+  // same members would then own the odd slots of all of them.
+  const std::string &Service = Entry.Service_.str();
+  const std::uint64_t Seed = XXH3_64bits(Service.data(), Service.size());
+  for (std::uint64_t Member = 0; Member < Members; ++Member) {
+    SlotShares &Shares = Plan.Shares_[Hosts.Members_[Member].Host_];
+    for (const Target &Each : Entry.Targets_) {
+      const std::string &Id = Each.Id_.str();
+      const std::uint64_t Start =
+          XXH3_64bits_withSeed(Id.data(), Id.size(), Seed) % Members;
+      Shares[Each.Id_] = {
+          rotatedPart(Each.Slots_, Start, Member, Members),
+          rotatedPart(Each.Connections_, Start, Member, Members)};
+    }
+  }
+  return Plan;
+}
+
+OwnSlots::Holding OwnSlots::changed(const Holding &Held,
+                                    const SlotShare &Planned, Duration Wait,
+                                    TimePoint Now) {
+  const SlotShare UsableNow =
+      Now >= Held.ReadyAt_ ? Held.Planned_ : Held.Usable_;
+  Holding Next{smaller(UsableNow, Planned), Planned, Held.ReadyAt_};
+  if (isMore(Planned, Held.Planned_))
+    Next.ReadyAt_ = Now + Wait;
+  return Next;
+}
+
+void OwnSlots::setPlan(const SlotShares &Planned, Duration LongestDeadline,
+                       TimePoint Now) {
+  std::map<TargetId, Holding> Next;
+  for (const SlotShares::value_type &Each : Planned) {
+    const auto It = Holdings_.find(Each.first);
+    const Holding Held = It == Holdings_.end() ? Holding{} : It->second;
+    Next[Each.first] =
+        changed(Held, Each.second, LongestDeadline + ListSettleTime, Now);
+  }
+  Holdings_ = std::move(Next);
+}
+
+SlotShares OwnSlots::usable(TimePoint Now) const {
+  SlotShares Shares;
+  for (const std::pair<const TargetId, Holding> &Each : Holdings_)
+    Shares[Each.first] = Now >= Each.second.ReadyAt_ ? Each.second.Planned_
+                                                     : Each.second.Usable_;
+  return Shares;
+}
+
+} // namespace kumquatpitch
