--- a/include/kumquatpitch/assignment.h
+++ b/include/kumquatpitch/assignment.h
@@ -70,10 +70,18 @@
 /// Rendezvous hash of a host for a service; equal on every build.
 std::uint64_t rendezvousHash(const ServiceName &Service, const HostId &Host);
 
-/// The group in the order in which one caller is to try it: the first host is
-/// uniformly random, and hosts of the failure domains used least so far come
-/// first.
-std::vector<GroupMember> addressOrder(const Group &Hosts, RandomSource &Random);
+/// Weight of each host of a group for callers; hosts that are missing weigh 0.
+using HostWeights = std::map<HostId, std::uint32_t>;
+
+/// Equal weights for all members.
+HostWeights equalWeights(const Group &Hosts);
+
+/// The group in the order in which one caller is to try it. Each place is drawn
+/// at random in proportion to the weights, among the hosts of the failure
+/// domains used least so far; hosts of weight 0 come last.
+std::vector<GroupMember> addressOrder(const Group &Hosts,
+                                      const HostWeights &Weights,
+                                      RandomSource &Random);
 
 } // namespace kumquatpitch
 
--- a/include/kumquatpitch/slot-plan.h
+++ b/include/kumquatpitch/slot-plan.h
@@ -44,6 +44,10 @@
 
   /// All parts of a host; empty when it is not in the group.
   SlotShares ownShares(const HostId &Host) const;
+
+  /// Sum of each host's slots. Rotation leaves hosts with unequal sums where
+  /// targets have few slots, so callers are spread in proportion to them.
+  HostWeights weights() const;
 };
 
 /// Divides the targets of an entry: slot i of a target belongs to the member at
--- a/src/assignment.cc
+++ b/src/assignment.cc
@@ -50,9 +50,43 @@
   return Best;
 }
 
-void shuffle(std::vector<GroupMember> &Members, RandomSource &Random) {
-  for (std::size_t Left = Members.size(); Left > 1; --Left)
-    std::swap(Members[Left - 1], Members[Random.below(Left)]);
+/// Members that are not placed yet, with their weights.
+struct Unplaced {
+  const GroupMember *Member_;
+  std::uint32_t Weight_;
+};
+
+/// Index of an entry, drawn in proportion to the weights; the first when all
+/// weigh 0.
+std::size_t drawByWeight(const std::vector<Unplaced> &Entries,
+                         RandomSource &Random) {
+  std::uint64_t Sum = 0;
+  for (const Unplaced &Each : Entries)
+    Sum += Each.Weight_;
+  std::uint64_t Drawn = Random.below(Sum);
+  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
+    if (Drawn < Entries[Index].Weight_)
+      return Index;
+    Drawn -= Entries[Index].Weight_;
+  }
+  return 0;
+}
+
+/// Draws all members in proportion to their weights.
+std::vector<const GroupMember *>
+shuffled(const Group &Hosts, const HostWeights &Weights, RandomSource &Random) {
+  std::vector<Unplaced> Left;
+  for (const GroupMember &Each : Hosts.Members_) {
+    const HostWeights::const_iterator It = Weights.find(Each.Host_);
+    Left.push_back({&Each, It == Weights.end() ? 0 : It->second});
+  }
+  std::vector<const GroupMember *> Order;
+  while (!Left.empty()) {
+    const std::size_t Drawn = drawByWeight(Left, Random);
+    Order.push_back(Left[Drawn].Member_);
+    Left.erase(Left.begin() + static_cast<std::ptrdiff_t>(Drawn));
+  }
+  return Order;
 }
 
 } // namespace
@@ -98,20 +132,26 @@
   return hashFor(serviceSeed(Service), idHash(Host));
 }
 
+HostWeights equalWeights(const Group &Hosts) {
+  HostWeights Weights;
+  for (const GroupMember &Each : Hosts.Members_)
+    Weights[Each.Host_] = 1;
+  return Weights;
+}
+
 std::vector<GroupMember> addressOrder(const Group &Hosts,
+                                      const HostWeights &Weights,
                                       RandomSource &Random) {
-  std::vector<GroupMember> Left = Hosts.Members_;
-  shuffle(Left, Random);
+  std::vector<const GroupMember *> Left = shuffled(Hosts, Weights, Random);
   std::vector<GroupMember> Ordered;
   std::map<FailureDomain, std::size_t> Used;
   while (!Left.empty()) {
-    const auto UsedLess = [&](const GroupMember &One, const GroupMember &Two) {
-      return Used[One.Domain_] > 99 + Used[Two.Domain_];
+    const auto UsedLess = [&](const GroupMember *One, const GroupMember *Two) {
+      return Used[One->Domain_] < Used[Two->Domain_];
     };
-    const std::vector<GroupMember>::iterator It =
-        std::min_element(Left.begin(), Left.end(), UsedLess);
-    ++Used[It->Domain_];
-    Ordered.push_back(std::move(*It));
+    const auto It = std::min_element(Left.begin(), Left.end(), UsedLess);
+    ++Used[(*It)->Domain_];
+    Ordered.push_back(**It);
     Left.erase(It);
   }
   return Ordered;
--- a/src/slot-plan.cc
+++ b/src/slot-plan.cc
@@ -41,6 +41,14 @@
   return Owner == Shares_.end() ? SlotShares{} : Owner->second;
 }
 
+HostWeights SlotPlan::weights() const {
+  HostWeights Weights;
+  for (const std::pair<const HostId, SlotShares> &Host : Shares_)
+    for (const SlotShares::value_type &Each : Host.second)
+      Weights[Host.first] += Each.second.Slots_;
+  return Weights;
+}
+
 SlotPlan slotPlan(const ServiceEntry &Entry, const Group &Hosts) {
   SlotPlan Plan;
   const std::uint64_t Members = Hosts.Members_.size();
