Add the messages between hosts and their CBOR codec

Heartbeats and digests are the larger part of control traffic, so the map has one-letter keys and bodies are positional arrays: a heartbeat with ten heard peers and long ids takes 250 bytes. Bodies have an exact count of elements, so unknown fields are refused. nlohmann-json builds nested CBOR by recursion; a 1 MB message of nested arrays overflowed the stack (exit 139), so a SAX pass that stops at depth 8 runs first. Ruled out: maps with named fields for table entries, which repeat the names in each of thousands of entries.

--- /dev/null
+++ b/test/peer-message-test.cc
@@ -0,0 +1,165 @@
+// Codec of messages between hosts: whole values survive, everything else is
+// refused with a code.
+
+#include "kumquatpitch/peer-message.h"
+
+#include "kumquatpitch/random-source.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using nlohmann::json;
+
+static const HostId Self("yaba-2");
+
+static PeerMessage messageWith(PeerBody Body) {
+  return PeerMessage{HostId("ikeja-1"), 0xfeedULL, Self, 42, std::move(Body)};
+}
+
+static Failure failureOf(const std::string &Bytes) {
+  return handleFailure(
+      [&]() -> Result<Failure> {
+        Result<PeerMessage> Decoded = decodePeerMessage(Bytes, Self);
+        if (!Decoded)
+          return Decoded.error();
+        return Failure{ResultCode::Ok, ""};
+      },
+      [](const Failure &Cause) { return Cause; });
+}
+
+static std::vector<PeerBody> sampleBodies() {
+  const TableVersion Version{7, {UINT64_MAX, 5}};
+  HostRecord Host;
+  Host.Id_ = HostId("gasabo-1");
+  Host.Region_ = Region("kigali");
+  Host.Domain_ = FailureDomain("gasabo");
+  Host.Address_ = "10.0.0.1";
+  Host.PeerPort_ = 7000;
+  Host.OperatorPort_ = 7001;
+  Host.CustomerPorts_ = {{CustomerName("imigongo"), 8080}};
+  Host.State_ = HostState::Leaving;
+  const std::string Hash(32, 'a');
+  return {
+      HeartbeatMessage{3, true, {HostId("a"), HostId("b")}, {Version, {}}},
+      DigestMessage{{Version, Version},
+                    true,
+                    {{HostId("r"), 9}},
+                    {{HostId("n"), FailureDomain("yaba"), {"10.0.0.2", 7000}}}},
+      PullMessage{PullKind::Hosts, Version, "", ""},
+      PullMessage{PullKind::Document, {}, "service/ledger", Hash},
+      PartMessage{ManifestDelta{{},
+                                Version,
+                                {{"contract/imigongo", 3, Hash, 1234}},
+                                {"service/old"}}},
+      PartMessage{HostsDelta{Version, Version, {Host}, {}}},
+      PartMessage{DocumentBody{"contract/imigongo", Hash, false, "{\"a\":1}"}},
+      ReportMessage{ServiceName("ledger"), TargetId("t1"), 9, 4,
+                    std::chrono::milliseconds(250), true, false},
+      QuotaAskMessage{ServiceName("ledger"), QuotaKind::InProgress, 12},
+      QuotaGrantMessage{ServiceName("ledger"), QuotaKind::Rate, 5, 77, 99,
+                        true}};
+}
+
+TEST_GROUP(PeerMessage){};
+
+TEST(PeerMessage, EachKindSurvives) {
+  for (const PeerBody &Body : sampleBodies()) {
+    const PeerMessage Sent = messageWith(Body);
+    CHECK(decodePeerMessage(encodePeerMessage(Sent), Self).value() == Sent);
+  }
+}
+
+// Guards against a message that is cut or changed and still accepted as
+// something else, and against a crash on any bytes.
+TEST(PeerMessage, CutAndChangedBytesAreRefusedOrEqualInShape) {
+  SeededRandom Random(1);
+  for (const PeerBody &Body : sampleBodies()) {
+    const std::string Bytes = encodePeerMessage(messageWith(Body));
+    for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+      CHECK(failureOf(Bytes.substr(0, Length)).Code_ ==
+            ResultCode::PeerMessageMalformed);
+    CHECK(failureOf(Bytes + '\0').Code_ == ResultCode::PeerMessageMalformed);
+    for (int Round = 0; Round < 500; ++Round) {
+      std::string Changed = Bytes;
+      Changed[Random.below(Changed.size())] = static_cast<char>(Random.next());
+      failureOf(Changed);
+    }
+  }
+}
+
+// Guards against unbounded recursion in the CBOR parser.
+TEST(PeerMessage, DeepNestingIsRefused) {
+  CHECK(failureOf(std::string(1'000'000, '\x81')).Code_ ==
+        ResultCode::PeerMessageMalformed);
+}
+
+TEST(PeerMessage, AnotherReceiverIsRefused) {
+  PeerMessage Sent = messageWith(HeartbeatMessage{});
+  Sent.To_ = HostId("yaba-3");
+  CHECK(failureOf(encodePeerMessage(Sent)).Code_ ==
+        ResultCode::PeerMessageMalformed);
+  Sent.To_ = HostId();
+  CHECK(failureOf(encodePeerMessage(Sent)).Code_ == ResultCode::Ok);
+}
+
+static std::string encodedWith(const char *Field, const json &Value) {
+  json Map = json::from_cbor(encodePeerMessage(
+      messageWith(QuotaAskMessage{ServiceName("ledger"), QuotaKind::Rate, 1})));
+  Map[Field] = Value;
+  std::string Bytes;
+  json::to_cbor(Map, Bytes);
+  return Bytes;
+}
+
+TEST(PeerMessage, UnknownVersionHasItsCode) {
+  CHECK(failureOf(encodedWith("v", 2)).Code_ == ResultCode::PeerVersionUnknown);
+}
+
+// Guards against fields that a stricter or newer host would read differently.
+TEST(PeerMessage, UnknownFieldsAndWrongTypesAreRefused) {
+  const json Ask = json::array({"ledger", 0, 1});
+  CHECK(failureOf(encodedWith("b", Ask)).Code_ == ResultCode::Ok);
+  for (const json &Body :
+       {json::array({"ledger", 0}), json::array({"ledger", 0, 1, 1}),
+        json::array({"ledger", 2, 1}), json::array({"ledger", 0, -1}),
+        json::array({"LEDGER", 0, 1}), json::array({"ledger", 0, 1.5}),
+        json("ledger")})
+    CHECK(failureOf(encodedWith("b", Body)).Code_ ==
+          ResultCode::PeerMessageMalformed);
+  CHECK(failureOf(encodedWith("x", 1)).Code_ ==
+        ResultCode::PeerMessageMalformed);
+  CHECK(failureOf(encodedWith("k", 7)).Code_ ==
+        ResultCode::PeerMessageMalformed);
+  CHECK(failureOf(encodedWith("h", json::array({"ikeja-1", 0, "", 1}))).Code_ ==
+        ResultCode::PeerMessageMalformed);
+}
+
+// Guards against a peer that makes this host hold unbounded memory.
+TEST(PeerMessage, TooLongInputIsRefused) {
+  HeartbeatMessage Heartbeat;
+  for (int Count = 0; Count < 129; ++Count)
+    Heartbeat.Heard_.emplace_back("h" + std::to_string(Count));
+  CHECK(failureOf(encodePeerMessage(messageWith(Heartbeat))).Code_ ==
+        ResultCode::PeerMessageMalformed);
+  CHECK(failureOf(encodedWith("b", std::string(MaxPeerMessageBytes, 'x')))
+            .Code_ == ResultCode::PeerMessageTooLarge);
+  CHECK(failureOf(std::string(MaxPartMessageBytes + 1, '\0')).Code_ ==
+        ResultCode::PeerMessageTooLarge);
+}
+
+// Guards against heartbeats that outgrow the control budget: to 10 peers each
+// second they take at most 3 KB/s.
+TEST(PeerMessage, HeartbeatIsCompact) {
+  HeartbeatMessage Heartbeat;
+  const TableVersion Version{100'000, {UINT64_MAX, UINT64_MAX}};
+  Heartbeat.Config_ = {Version, Version};
+  for (int Count = 0; Count < 10; ++Count)
+    Heartbeat.Heard_.emplace_back("nyarugenge-" +
+                                  std::to_string(4'000 + Count));
+  PeerMessage Sent = messageWith(Heartbeat);
+  Sent.Incarnation_ = UINT64_MAX;
+  CHECK(encodePeerMessage(Sent).size() <= 300);
+}
