--- /dev/null
+++ b/test/peer-view-test.cc
@@ -0,0 +1,79 @@
+// PeerView: who is heard in which direction.
+
+#include "kumquatpitch/peer-view.h"
+
+#include "manual-time.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using test::atMs;
+
+static const HostId Self("yaba-1");
+static const HostId Peer("ikeja-1");
+
+TEST_GROUP(PeerView) {
+  PeerView View_{Self};
+
+  HeartbeatResult beat(Incarnation Run, std::uint64_t Sequence,
+                       std::int64_t AtMs, std::uint64_t Epoch = 1,
+                       bool Leaving = false, bool NamesUs = true) {
+    HeartbeatMessage Message;
+    Message.Epoch_ = Epoch;
+    Message.Leaving_ = Leaving;
+    if (NamesUs)
+      Message.Heard_.push_back(Self);
+    return View_.onHeartbeat(Peer, Run, Sequence, Message, atMs(AtMs));
+  }
+};
+
+TEST(PeerView, PeerIsHeardUntilTheTimeout) {
+  CHECK(beat(7, 1, 0) == HeartbeatResult::NewIncarnation);
+  CHECK(View_.heard(Peer, atMs(3'000)));
+  CHECK_FALSE(View_.heard(Peer, atMs(3'001)));
+  CHECK_FALSE(View_.hearsUs(Peer, atMs(3'001)));
+  CHECK(View_.nextHeartbeat(1, false, {}, atMs(10)).Heard_.at(0) == Peer);
+  CHECK(View_.nextHeartbeat(1, false, {}, atMs(3'001)).Heard_.empty());
+}
+
+// Guards against a peer that is taken for healthy while it cannot hear us.
+TEST(PeerView, OneWayLossIsVisible) {
+  beat(7, 1, 0, 1, false, false);
+  CHECK(View_.heard(Peer, atMs(10)));
+  CHECK_FALSE(View_.hearsUs(Peer, atMs(10)));
+}
+
+// Guards against a late or doubled heartbeat that keeps a dead peer alive.
+TEST(PeerView, OlderSequencesAreIgnored) {
+  beat(7, 5, 0);
+  CHECK(beat(7, 5, 2'900) == HeartbeatResult::OldSequence);
+  CHECK(beat(7, 4, 2'900) == HeartbeatResult::OldSequence);
+  CHECK_FALSE(View_.heard(Peer, atMs(3'001)));
+  CHECK(beat(7, 6, 2'900) == HeartbeatResult::Accepted);
+}
+
+// Guards against a replaced run that is believed again by a late message.
+TEST(PeerView, OlderIncarnationsAreIgnored) {
+  beat(7, 50, 0, 9, true);
+  CHECK(View_.isLeaving(Peer));
+  CHECK(beat(8, 1, 100) == HeartbeatResult::NewIncarnation);
+  CHECK_FALSE(View_.isLeaving(Peer));
+  CHECK_EQUAL(1, View_.epochOf(Peer).value());
+  CHECK(beat(7, 51, 200) == HeartbeatResult::OldIncarnation);
+  CHECK_EQUAL(8, View_.incarnationOf(Peer).value());
+}
+
+TEST(PeerView, UnknownPeersHaveNoState) {
+  CHECK_FALSE(View_.heard(Peer, atMs(0)));
+  CHECK_FALSE(View_.incarnationOf(Peer).has_value());
+  CHECK_FALSE(View_.epochOf(Peer).has_value());
+}
+
+// Guards against a table that grows with every host that ever ran.
+TEST(PeerView, ForgetsPeersThatAreGone) {
+  beat(7, 1, 0);
+  View_.expire(atMs(600'000));
+  CHECK_EQUAL(1, View_.size());
+  View_.expire(atMs(600'001));
+  CHECK_EQUAL(0, View_.size());
+}
