Serve operators over HTTP on a port of their own

OperatorEndpoint runs the library's server with four threads and reads everything from OperatorView.

Found in the library and changed by settings: it keeps connections, each of which holds a thread while idle (one request per connection here); it waits 5 s for a first byte (1 s here); it listens with SO_REUSEPORT, by which a second daemon on the port takes half of the requests unnoticed (SO_REUSEADDR here); stop() is ignored before its loop runs (stop() waits for the loop); its own pool queues without a bound (a full pool stops accepting here).

Seen to fail first: with the library's socket options (RefusesAPortInUse), with kept connections (ClosesTheConnectionAfterEachAnswer), without the wait (StopsRightAfterStart hangs and was ended after 40 s), with 10 s for the first byte (SilentConnectionsDelayOthersBriefly), with a fixed readiness (ReadinessFollowsTheView). Eight silent connections delay the next request by 2.0 s (test run time).

Conclusion: a request waits at most for silent connections before it, 1 s for each four.

--- /dev/null
+++ b/test/operator-endpoint-test.cc
@@ -0,0 +1,121 @@
+// The operators' endpoint over loopback.
+
+#include "kumquatpitch/operator-endpoint.h"
+
+#include "sample-status.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <httplib.h>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using kumquatpitch::test::sampleStatus;
+
+namespace {
+
+class FakeView : public OperatorView {
+public:
+  bool ready() override { return IsReady_; }
+  std::string metricsText() override {
+    if (IsBroken_)
+      throw std::runtime_error("broken view");
+    return "up 1\n";
+  }
+  HostStatus status() override { return sampleStatus("h-1"); }
+
+  std::atomic<bool> IsReady_ = true;
+  std::atomic<bool> IsBroken_ = false;
+};
+
+const Endpoint AnyPort{"127.0.0.1", 0};
+
+} // namespace
+
+TEST_GROUP(OperatorEndpoint) {
+  FakeView View_;
+  std::optional<OperatorEndpoint> Served_;
+
+  void setup() override {
+    Served_.emplace(View_);
+    CHECK(!!Served_->start(AnyPort));
+  }
+  void teardown() override { Served_.reset(); }
+
+  httplib::Result get(const char *Path) {
+    httplib::Client Client("127.0.0.1", Served_->port());
+    Client.set_read_timeout(5);
+    return Client.Get(Path);
+  }
+};
+
+TEST(OperatorEndpoint, ServesEachPath) {
+  CHECK_EQUAL(200, get("/health")->status);
+  STRCMP_EQUAL("up 1\n", get("/metrics")->body.c_str());
+  CHECK(parseHostStatus(get("/status")->body).value() == sampleStatus("h-1"));
+  CHECK_EQUAL(404, get("/other")->status);
+}
+
+// Guards against a leaving host that still looks ready.
+TEST(OperatorEndpoint, ReadinessFollowsTheView) {
+  CHECK_EQUAL(200, get("/ready")->status);
+  View_.IsReady_ = false;
+  CHECK_EQUAL(503, get("/ready")->status);
+  CHECK_EQUAL(200, get("/health")->status);
+}
+
+TEST(OperatorEndpoint, AnExceptionIsAnInternalError) {
+  View_.IsBroken_ = true;
+  CHECK_EQUAL(500, get("/metrics")->status);
+  CHECK_EQUAL(200, get("/health")->status);
+}
+
+// Guards against kept connections that hold every thread of the small pool.
+TEST(OperatorEndpoint, ClosesTheConnectionAfterEachAnswer) {
+  httplib::Client Client("127.0.0.1", Served_->port());
+  Client.set_keep_alive(true);
+  STRCMP_EQUAL("close",
+               Client.Get("/health")->get_header_value("Connection").c_str());
+}
+
+// Guards against connections that send nothing and lock operators out.
+TEST(OperatorEndpoint, SilentConnectionsDelayOthersBriefly) {
+  asio::io_context Context;
+  std::vector<asio::ip::tcp::socket> Silent;
+  const asio::ip::tcp::endpoint Server(asio::ip::address_v4::loopback(),
+                                       Served_->port());
+  for (int Index = 0; Index < 8; ++Index)
+    Silent.emplace_back(Context).connect(Server);
+  const httplib::Result Answer = get("/health");
+  CHECK(Answer);
+  CHECK_EQUAL(200, Answer->status);
+}
+
+// Guards against two daemons that share one port unnoticed.
+TEST(OperatorEndpoint, RefusesAPortInUse) {
+  OperatorEndpoint Second(View_);
+  const ResultCode Code = handleFailure(
+      [&]() -> Result<ResultCode> {
+        Result<void> Started = Second.start({"127.0.0.1", Served_->port()});
+        if (!Started)
+          return Started.error();
+        return ResultCode::Ok;
+      },
+      [](const Failure &Cause) { return Cause.Code_; });
+  CHECK(Code == ResultCode::SettingsInvalid);
+}
+
+// Guards against a stop that comes before the listening loop runs and then
+// waits forever.
+TEST(OperatorEndpoint, StopsRightAfterStart) {
+  for (int Round = 0; Round < 20; ++Round) {
+    OperatorEndpoint Short(View_);
+    CHECK(!!Short.start(AnyPort));
+    Short.stop();
+  }
+}
