--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -39,6 +39,8 @@
   const ServiceTerms &terms() const { return *Config_.Terms_; }
   const ServiceEntry &entry() const { return *Config_.Entry_; }
 
+  const SlotPlan &plan() const { return Plan_; }
+
   /// True when this host is in the service's group.
   bool isAssigned() const { return IsAssigned_; }
 
@@ -56,6 +58,7 @@
   ServiceConfig Config_;
   const HostId Self_;
   bool IsAssigned_ = false;
+  SlotPlan Plan_;
   OwnSlots Slots_;
   std::map<TargetId, std::uint32_t> InProgress_; ///< At most the own slots.
   BurnRate Burn_;
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -109,9 +109,10 @@
   if (!Terms || !findTerms(*Terms, Service))
     return fail(ResultCode::ServiceUnknown,
                 "the contract names no such service");
-  const Group &Hosts = Services_.at(Service)->config().Group_;
+  const ServiceRuntime &Served = *Services_.at(Service);
   AddressAnswer Answer{Service, Catalog_->Version_, {}};
-  for (const GroupMember &Member : addressOrder(Hosts, Random_))
+  for (const GroupMember &Member :
+       addressOrder(Served.config().Group_, Served.plan().weights(), Random_))
     if (!(IsLeaving_ && Member.Host_ == Self_.Id_))
       Answer.Hosts_.push_back(
           AddressOption{Member.Host_, Member.Domain_, Member.Address_,
--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -14,8 +14,8 @@
 void ServiceRuntime::setConfig(ServiceConfig Config, TimePoint Now) {
   Config_ = std::move(Config);
   IsAssigned_ = Config_.Group_.contains(Self_);
-  const SlotPlan Plan = slotPlan(entry(), Config_.Group_);
-  Slots_.setPlan(Plan.ownShares(Self_), terms().Deadline_, Now);
+  Plan_ = slotPlan(entry(), Config_.Group_);
+  Slots_.setPlan(Plan_.ownShares(Self_), terms().Deadline_, Now);
   Burn_.setObjective(terms().Slo_, Now);
 }
 
