Count requests and latencies and write them as Prometheus text

Metrics keeps counts by result code and outcome, attempts by how they ended, and two latencies for each customer and service with Boost.Accumulators, which stays behind the source file. At most 1,000 label sets are kept, and further ones count as other. Statistics are of the last whole minute.

Ruled out: the library's extended_p_square_quantile, which copies a member that it leaves uninitialized (g++ 12 refuses it with our warnings); its markers are read directly.

Seen to fail first: without the bound on label sets (CountsLabelsOverTheLimitAsOther) and on counters (BoundsTheHostsCounters), with an old minute shown again (StatisticsAreOfTheLastMinute), with 5 samples allowed for quantiles (GivesNoQuantilesOfFewSamples), without escaping (EscapesLabelValues), with a doubled name (DeclaresEachMetricOnce).

--- /dev/null
+++ b/include/kumquatpitch/metrics.h
@@ -0,0 +1,118 @@
+// Counters and latency statistics of one host, for each customer and service.
+// HostCore feeds it; metrics-format writes a snapshot as text. The number of
+// label sets is bounded: further ones count as `other`.
+
+#ifndef KUMQUATPITCH_METRICS_H
+#define KUMQUATPITCH_METRICS_H
+
+#include "kumquatpitch/attempt.h"
+#include "kumquatpitch/burn-rate.h"
+#include "kumquatpitch/name.h"
+#include "kumquatpitch/time-point.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace kumquatpitch {
+
+/// Label of what exceeds a bound.
+constexpr char OtherLabel[] = "other";
+
+/// Latency over a host's life and over the last whole minute of it.
+struct LatencyStats {
+  std::uint64_t Count_ = 0; ///< Since the start.
+  double SumSeconds_ = 0;   ///< Since the start.
+  double MeanSeconds_ = 0;  ///< Mean, greatest and quantiles: of the last
+                            ///< minute, or of the current one in the first.
+  double MaxSeconds_ = 0;
+  std::optional<double> P50Seconds_; ///< None with few samples.
+  std::optional<double> P99Seconds_;
+
+  bool operator==(const LatencyStats &) const = default;
+};
+
+/// Kinds of latency that are kept.
+enum class LatencyKind : std::uint8_t {
+  Request, ///< From the whole request read to the answer ready.
+  Added,   ///< The part of it that the host adds to the backend server's.
+};
+constexpr std::size_t LatencyKindCount = 2;
+
+constexpr std::size_t AttemptEndCount = 10;
+
+/// Name of an attempt's end in metrics, such as `timed_out`.
+const char *attemptEndName(AttemptEnd End);
+
+/// Figures of one customer's service.
+struct ServiceMetrics {
+  std::string Customer_;
+  std::string Service_;
+  std::map<std::pair<ResultCode, Outcome>, std::uint64_t> Requests_;
+  std::array<std::uint64_t, AttemptEndCount> Attempts_{};
+  std::array<LatencyStats, LatencyKindCount> Latencies_;
+
+  bool operator==(const ServiceMetrics &) const = default;
+};
+
+struct MetricsSnapshot {
+  std::vector<ServiceMetrics> Services_; ///< Ordered by customer and service.
+  std::map<std::string, std::uint64_t> Counters_;
+  std::uint64_t OverLimit_ = 0; ///< Events counted as `other`.
+
+  bool operator==(const MetricsSnapshot &) const = default;
+};
+
+class Metrics {
+public:
+  /// Keeps at most `MaxLabelSets` pairs of customer and service, and `other`.
+  explicit Metrics(std::size_t MaxLabelSets = DefaultLabelSets);
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  /// Counts a request and its latency.
+  void requestEnded(const CustomerName &Customer, const ServiceName &Service,
+                    const RequestEnd &End, TimePoint Now);
+
+  /// Notes what the host added to a delivered answer's latency.
+  void addedLatency(const CustomerName &Customer, const ServiceName &Service,
+                    Duration Added, TimePoint Now);
+
+  void attemptEnded(const CustomerName &Customer, const ServiceName &Service,
+                    AttemptEnd End, TimePoint Now);
+
+  /// Counts an event of the host, such as `peer_messages_dropped`. Names are of
+  /// [a-z_]; at most 64 are kept.
+  void count(std::string_view Name, std::uint64_t By = 1);
+
+  /// Drops a pair that the configuration no longer has, so that its place is
+  /// free.
+  void forget(const CustomerName &Customer, const ServiceName &Service);
+
+  MetricsSnapshot snapshot(TimePoint Now) const;
+
+private:
+  static constexpr std::size_t DefaultLabelSets = 1'000;
+  struct Entry;
+  using Key = std::pair<std::string, std::string>;
+
+  Entry &entryOf(const CustomerName &Customer, const ServiceName &Service,
+                 TimePoint Now);
+
+  std::size_t MaxLabelSets_;
+  std::map<Key, std::unique_ptr<Entry>>
+      Entries_; ///< At most MaxLabelSets_ + 1.
+  std::map<std::string, std::uint64_t, std::less<>> Counters_;
+  std::uint64_t OverLimit_ = 0;
+};
+
+} // namespace kumquatpitch
+
+#endif
