Exchange heartbeats between the hosts of a group

Address answers carry tokens of group members whose incarnation is known by their heartbeats. Members that are not heard come last, since the cut may be this host's own.

--- a/include/kumquatpitch/core-action.h
+++ b/include/kumquatpitch/core-action.h
@@ -43,16 +43,16 @@
 };
 
 /// The request ends without a backend server's answer.
-struct Refusal {
+struct RequestRefusal {
   ResultCode Code_ = ResultCode::InternalError;
   Outcome Outcome_ = Outcome::Unknown;
   std::string Message_;
   std::vector<Endpoint> Hosts_; ///< Where to send it instead, if anywhere.
 
-  bool operator==(const Refusal &) const = default;
+  bool operator==(const RequestRefusal &) const = default;
 };
 
-using Step = std::variant<Wait, AttemptOrder, Deliver, Refusal>;
+using Step = std::variant<Wait, AttemptOrder, Deliver, RequestRefusal>;
 
 /// The next step of one request.
 struct FlowStep {
--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -9,13 +9,18 @@
 #include "kumquatpitch/catalog.h"
 #include "kumquatpitch/core-action.h"
 #include "kumquatpitch/host-list.h"
+#include "kumquatpitch/host-status.h"
 #include "kumquatpitch/logger.h"
+#include "kumquatpitch/metrics.h"
+#include "kumquatpitch/peer-exchange.h"
+#include "kumquatpitch/peer-view.h"
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/request-flow.h"
 #include "kumquatpitch/service-runtime.h"
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,14 +33,25 @@
   Region Region_;
   FailureDomain Domain_;
   Incarnation Incarnation_ = 0;
+  std::vector<Endpoint> Seeds_; ///< Peers that the settings name.
 
   bool operator==(const HostIdentity &) const = default;
 };
 
+/// Services that the core is driven through; they outlive it.
+struct HostServices {
+  const TimePoint Start_;
+  RandomSource &Random_;
+  Logger &Log_;
+  Metrics Metrics_;
+  PeerExchange Exchange_;
+  PeerView Peers_;
+  PeerTransport &Transport_;
+};
+
 class HostCore {
 public:
-  HostCore(HostIdentity Self, RandomSource &Random, Logger &Log,
-           TimePoint Start);
+  HostCore(HostIdentity Self, HostServices Services, TimePoint Start);
 
   /// Takes a configuration version; older ones are ignored.
   void applyCatalog(std::shared_ptr<const Catalog> Value, TimePoint Now);
@@ -57,6 +73,10 @@
   CoreActions abandon(FlowId Flow, TimePoint Now);
   bool mayWrite(FlowId Flow, TimePoint Now) const;
 
+  /// Takes a message that came from an IP address.
+  CoreActions receivePeer(std::string_view Bytes, const std::string &Sender,
+                          TimePoint Now);
+
   /// To be called every TickPeriod.
   CoreActions tick(TimePoint Now);
 
@@ -75,21 +95,36 @@
 
   std::size_t requestsInProgress() const { return Flow_.inProgress(); }
 
+  /// Report for operators.
+  HostStatus status(TimePoint Now) const;
+  std::string metricsText(TimePoint Now) const;
+
 private:
   using ServiceMap = std::map<ServiceName, std::shared_ptr<ServiceRuntime>>;
 
   void renewServices(TimePoint Now);
+  void renewPeers();
+  void sendHeartbeats(TimePoint Now);
   FlowStep refuseEarly(ResultCode Code, const std::string &Message);
+  CoreActions dispatch(const PeerMessage &Message, TimePoint Now);
+  HostWeights callerWeights(const ServiceRuntime &Service, TimePoint Now) const;
+  bool isKnownLeaving(const HostId &Host) const;
   std::string tokenFor(const HostId &Host, const ServiceName &Service,
                        TimePoint Now);
 
   const HostIdentity Self_;
+  const TimePoint Start_;
   RandomSource &Random_;
   Logger &Log_;
+  Metrics Metrics_;
+  PeerExchange Exchange_;
+  PeerView Peers_;
   std::shared_ptr<const Catalog> Catalog_;
   HostList Hosts_;
   ServiceMap Services_;
+  std::set<HostId> GroupPeers_; ///< Other hosts of this host's groups.
   RequestFlow Flow_;
+  TimePoint NextHeartbeat_;
   bool IsLeaving_ = false;
   TimePoint LeavingSince_;
 };
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -6,10 +6,13 @@
 
 namespace kumquatpitch {
 
-HostCore::HostCore(HostIdentity Self, RandomSource &Random, Logger &Log,
-                   TimePoint Start)
-    : Self_(std::move(Self)), Random_(Random), Log_(Log),
-      Flow_(Self_.Id_, Self_.Incarnation_, Start) {}
+HostCore::HostCore(HostIdentity Self, HostServices Services, TimePoint Start)
+    : Self_(std::move(Self)), Start_(Start), Random_(Services.Random_),
+      Log_(Services.Log_),
+      Exchange_(Self_.Id_, Self_.Incarnation_, Self_.Seeds_,
+                Services.Transport_, Metrics_),
+      Peers_(Self_.Id_), Flow_(Self_.Id_, Self_.Incarnation_, Start),
+      NextHeartbeat_(Start) {}
 
 void HostCore::applyCatalog(std::shared_ptr<const Catalog> Value,
                             TimePoint Now) {
@@ -25,6 +28,7 @@
   if (List.Version_ <= Hosts_.Version_)
     return;
   Hosts_ = std::move(List);
+  Exchange_.setHosts(Hosts_);
   Log_.log(LogLevel::Info, "hosts",
            "list " + std::to_string(Hosts_.Version_) + " names " +
                std::to_string(Hosts_.Hosts_.size()) + " hosts");
@@ -53,6 +57,16 @@
       Renewed.insert(*Known);
     }
   Services_ = std::move(Renewed);
+  renewPeers();
+}
+
+void HostCore::renewPeers() {
+  GroupPeers_.clear();
+  for (const ServiceMap::value_type &Each : Services_)
+    if (Each.second->isAssigned())
+      for (const GroupMember &Member : Each.second->config().Group_.Members_)
+        GroupPeers_.insert(Member.Host_);
+  GroupPeers_.erase(Self_.Id_);
 }
 
 std::uint64_t HostCore::maxBodyBytes(const CustomerName &Customer,
@@ -67,7 +81,7 @@
 }
 
 FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message) {
-  return FlowStep{0, Refusal{Code, Outcome::NotRun, Message, {}}};
+  return FlowStep{0, RequestRefusal{Code, Outcome::NotRun, Message, {}}};
 }
 
 FlowStep HostCore::admit(const CallerRequest &Request, TimePoint Now) {
@@ -98,7 +112,45 @@
   return Flow_.mayWrite(Flow, Now);
 }
 
-CoreActions HostCore::tick(TimePoint Now) { return Flow_.tick(Now); }
+CoreActions HostCore::tick(TimePoint Now) {
+  if (Now >= NextHeartbeat_) {
+    NextHeartbeat_ = Now + HeartbeatPeriod;
+    sendHeartbeats(Now);
+    Peers_.expire(Now);
+  }
+  return Flow_.tick(Now);
+}
+
+void HostCore::sendHeartbeats(TimePoint Now) {
+  const HeartbeatMessage Beat =
+      Peers_.nextHeartbeat(Flow_.registry().issueEpoch(Now), IsLeaving_,
+                           ConfigState(), Now);
+  for (const HostId &Peer : GroupPeers_)
+    Exchange_.send(Peer, Beat);
+}
+
+CoreActions HostCore::receivePeer(std::string_view Bytes,
+                                  const std::string &Sender, TimePoint Now) {
+  return handleFailure(
+      [&]() -> Result<CoreActions> {
+        BOOST_LEAF_AUTO(Message, Exchange_.receive(Bytes, Sender));
+        return dispatch(Message, Now);
+      },
+      [&](const Failure &Cause) {
+        Log_.log(LogLevel::Warning, "peers",
+                 "message dropped: " + Cause.Message_);
+        return CoreActions();
+      });
+}
+
+CoreActions HostCore::dispatch(const PeerMessage &Message, TimePoint Now) {
+  if (const HeartbeatMessage *Beat =
+          std::get_if<HeartbeatMessage>(&Message.Body_)) {
+    Peers_.onHeartbeat(Message.From_, Message.Incarnation_, Message.Sequence_,
+                       *Beat, Now);
+  }
+  return {};
+}
 
 Result<AddressAnswer> HostCore::addresses(const CustomerName &Customer,
                                           const ServiceName &Service,
@@ -124,7 +176,28 @@
                                TimePoint Now) {
   if (Host == Self_.Id_)
     return formatToken(Flow_.registry().issueToken(Service, Now));
-  return "";
+  const std::optional<Incarnation> Run = Peers_.incarnationOf(Host);
+  const std::optional<std::uint64_t> Epoch = Peers_.epochOf(Host);
+  if (!Run || !Epoch)
+    return "";
+  return formatToken(RequestToken{Service, Host, *Run, *Epoch});
+}
+
+/// Weights of the plan; hosts that this one does not hear come last. It may be
+/// this host that is cut off, so they are not left out.
+HostWeights HostCore::callerWeights(const ServiceRuntime &Service,
+                                    TimePoint Now) const {
+  HostWeights Weights = Service.plan().weights();
+  if (!Service.isAssigned())
+    return Weights;
+  for (HostWeights::value_type &Each : Weights)
+    if (Each.first != Self_.Id_ && !Peers_.heard(Each.first, Now))
+      Each.second = 0;
+  return Weights;
+}
+
+bool HostCore::isKnownLeaving(const HostId &Host) const {
+  return Host == Self_.Id_ ? IsLeaving_ : Peers_.isLeaving(Host);
 }
 
 void HostCore::beginStop(TimePoint Now) {
--- a/src/request-driver.cc
+++ b/src/request-driver.cc
@@ -50,7 +50,7 @@
   return Text;
 }
 
-HttpAnswer makeRefusal(const Refusal &Refused) {
+HttpAnswer makeRefusal(const RequestRefusal &Refused) {
   HttpAnswer Answer =
       makeErrorAnswer(Refused.Code_, Refused.Outcome_, Refused.Message_);
   if (!Refused.Hosts_.empty())
@@ -137,7 +137,7 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex_);
     Next = Core_.admit(Caller, Timers_.now());
-    if (const Refusal *Refused = std::get_if<Refusal>(&Next.Step_))
+    if (const RequestRefusal *Refused = std::get_if<RequestRefusal>(&Next.Step_))
       return makeRefusal(*Refused);
     Box = &Mailboxes_[Next.Flow_];
   }
@@ -149,7 +149,7 @@
   });
   HttpAnswer Answer;
   while (!std::holds_alternative<Deliver>(Next.Step_) &&
-         !std::holds_alternative<Refusal>(Next.Step_)) {
+         !std::holds_alternative<RequestRefusal>(Next.Step_)) {
     if (const AttemptOrder *Order = std::get_if<AttemptOrder>(&Next.Step_)) {
       AttemptResult Ended = runAttempt(Flow, *Box, *Order, Request);
       Answer = std::move(Ended.Answer_);
@@ -161,7 +161,7 @@
     const std::lock_guard<std::mutex> Lock(Mutex_);
     Mailboxes_.erase(Flow);
   }
-  if (const Refusal *Refused = std::get_if<Refusal>(&Next.Step_))
+  if (const RequestRefusal *Refused = std::get_if<RequestRefusal>(&Next.Step_))
     return makeRefusal(*Refused);
   return Answer;
 }
--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -12,7 +12,7 @@
 
 /// Refused where nothing can have been sent for the request.
 Step refuseNotRun(ResultCode Code, const std::string &Message) {
-  return Refusal{Code, Outcome::NotRun, Message, {}};
+  return RequestRefusal{Code, Outcome::NotRun, Message, {}};
 }
 
 ResultCode codeOf(AttemptEnd End) {
@@ -58,18 +58,18 @@
 Outcome outcomeOf(const Step &Last) {
   if (std::holds_alternative<Deliver>(Last))
     return Outcome::Ran;
-  return std::get<Refusal>(Last).Outcome_;
+  return std::get<RequestRefusal>(Last).Outcome_;
 }
 
 ResultCode codeOf(const Step &Last) {
   if (std::holds_alternative<Deliver>(Last))
     return ResultCode::Ok;
-  return std::get<Refusal>(Last).Code_;
+  return std::get<RequestRefusal>(Last).Code_;
 }
 
 bool isLast(const Step &Next) {
   return std::holds_alternative<Deliver>(Next) ||
-         std::holds_alternative<Refusal>(Next);
+         std::holds_alternative<RequestRefusal>(Next);
 }
 
 } // namespace
@@ -114,13 +114,13 @@
         Entry.IsBound_ = Begun.Run_;
         if (Begun.Run_)
           return Step(Wait());
-        return Step(Refusal{Begun.Code_, Begun.Outcome_,
+        return Step(RequestRefusal{Begun.Code_, Begun.Outcome_,
                             "the request is bound by its token",
                             addressesOf(Entry.Service_->config().Group_)});
       },
       [](const Failure &Cause) {
         // A resend with a damaged token may have run under the true one.
-        return Step(Refusal{Cause.Code_, Outcome::Unknown, Cause.Message_, {}});
+        return Step(RequestRefusal{Cause.Code_, Outcome::Unknown, Cause.Message_, {}});
       });
 }
 
@@ -128,7 +128,7 @@
   static_cast<void>(Id);
   ServiceRuntime &Service = *Entry.Service_;
   if (!Service.isAssigned()) {
-    Refusal Elsewhere{ResultCode::WrongHost, Outcome::NotRun,
+    RequestRefusal Elsewhere{ResultCode::WrongHost, Outcome::NotRun,
                       "this host does not serve the service",
                       addressesOf(Service.config().Group_)};
     return Elsewhere;
@@ -166,7 +166,7 @@
 Step RequestFlow::refuse(const FlowState &Entry, ResultCode Code,
                          const std::string &Message) {
   if (Entry.MayHaveRun_)
-    return Refusal{Code, Outcome::Unknown, Message, {}};
+    return RequestRefusal{Code, Outcome::Unknown, Message, {}};
   return refuseNotRun(Code, Message);
 }
 
