--- a/include/kumquatpitch/request-registry.h
+++ b/include/kumquatpitch/request-registry.h
@@ -67,6 +67,12 @@
   RequestRegistry(HostId Host, Incarnation Run, TimePoint Start,
                   RegistryLimits Limits = {});
 
+  /// Buckets point into the map, so a copy would point into the original.
+  RequestRegistry(const RequestRegistry &) = delete;
+  RequestRegistry &operator=(const RequestRegistry &) = delete;
+  RequestRegistry(RequestRegistry &&) = default;
+  RequestRegistry &operator=(RequestRegistry &&) = default;
+
   /// Epoch for tokens issued at `Now`.
   std::uint64_t issueEpoch(TimePoint Now);
 
