Eject targets and wait out kept addresses at a planned stop

Wires TargetPicker, TargetHealth and HostFaultMonitor into the service runtime; attempts at an ejected target that may be repeated move on at once. A planned stop also waits until the host list no longer names the host as live, since hosts outside its groups learn of the stop by the list only.

--- a/include/kumquatpitch/core-action.h
+++ b/include/kumquatpitch/core-action.h
@@ -52,12 +52,12 @@
   bool operator==(const RequestRefusal &) const = default;
 };
 
-using Step = std::variant<Wait, AttemptOrder, Deliver, RequestRefusal>;
+using NextStep = std::variant<Wait, AttemptOrder, Deliver, RequestRefusal>;
 
 /// The next step of one request.
 struct FlowStep {
   FlowId Flow_ = 0;
-  Step Step_;
+  NextStep Step_;
 
   bool operator==(const FlowStep &) const = default;
 };
--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -8,6 +8,7 @@
 #include "kumquatpitch/address-answer.h"
 #include "kumquatpitch/catalog.h"
 #include "kumquatpitch/core-action.h"
+#include "kumquatpitch/host-fault-monitor.h"
 #include "kumquatpitch/host-list.h"
 #include "kumquatpitch/host-status.h"
 #include "kumquatpitch/logger.h"
@@ -20,6 +21,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,12 +42,8 @@
 
 /// Services that the core is driven through; they outlive it.
 struct HostServices {
-  const TimePoint Start_;
   RandomSource &Random_;
   Logger &Log_;
-  Metrics Metrics_;
-  PeerExchange Exchange_;
-  PeerView Peers_;
   PeerTransport &Transport_;
 };
 
@@ -105,6 +103,8 @@
   void renewServices(TimePoint Now);
   void renewPeers();
   void sendHeartbeats(TimePoint Now);
+  void evaluateTargets(CoreActions &Actions, TimePoint Now);
+  PeerStatus peerStatus(const HostId &Peer, TimePoint Now) const;
   FlowStep refuseEarly(ResultCode Code, const std::string &Message);
   CoreActions dispatch(const PeerMessage &Message, TimePoint Now);
   HostWeights callerWeights(const ServiceRuntime &Service, TimePoint Now) const;
@@ -124,9 +124,14 @@
   ServiceMap Services_;
   std::set<HostId> GroupPeers_; ///< Other hosts of this host's groups.
   RequestFlow Flow_;
+  HostFaultMonitor Faults_;
   TimePoint NextHeartbeat_;
+  TimePoint LastTick_;
+  bool IsFaultLogged_ = false;
   bool IsLeaving_ = false;
   TimePoint LeavingSince_;
+  /// Since when the list has not named this host as live; none while it does.
+  std::optional<TimePoint> NotLiveSince_;
 };
 
 /// Period of HostCore::tick.
--- a/include/kumquatpitch/host-daemon.h
+++ b/include/kumquatpitch/host-daemon.h
@@ -11,6 +11,8 @@
 #include "kumquatpitch/http-front.h"
 #include "kumquatpitch/http-platform-reader.h"
 #include "kumquatpitch/manifest.h"
+#include "kumquatpitch/nng-transport.h"
+#include "kumquatpitch/operator-endpoint.h"
 #include "kumquatpitch/request-driver.h"
 #include "kumquatpitch/settings.h"
 
@@ -19,10 +21,27 @@
 
 namespace kumquatpitch {
 
-class HostDaemon {
+/// Passes messages on to a transport that is opened later than the core is
+/// made, since its callback needs the core.
+class PeerLink : public PeerTransport {
+public:
+  bool send(const Endpoint &Peer, const std::string &Message) override {
+    return Open_ && Open_->send(Peer, Message);
+  }
+
+  void open(std::unique_ptr<NngTransport> Transport) {
+    Open_ = std::move(Transport);
+  }
+  void close() { Open_.reset(); }
+
+private:
+  std::unique_ptr<NngTransport> Open_;
+};
+
+class HostDaemon : private OperatorView {
 public:
   explicit HostDaemon(Settings Given);
-  ~HostDaemon();
+  ~HostDaemon() override;
   HostDaemon(const HostDaemon &) = delete;
   HostDaemon &operator=(const HostDaemon &) = delete;
 
@@ -31,6 +50,11 @@
   Result<void> run();
 
 private:
+  bool ready() override;
+  std::string metricsText() override;
+  HostStatus status() override;
+
+  Result<void> openPeerTransport();
   void tick(TimePoint Now);
   void pollPlatform();
   void onManifest(const PlatformReply &Reply);
@@ -44,11 +68,13 @@
   AsioTimerService Timers_;
   GlogLogger Log_;
   SeededRandom Random_;
+  PeerLink Link_;
   HostCore Core_;
   BackendClient Backends_;
   RequestDriver Driver_;
   HttpFront Front_;
   HttpPlatformReader Platform_;
+  OperatorEndpoint Operators_;
   asio::signal_set Signals_;
   std::mutex LoadMutex_; ///< Guards the two below.
   Manifest Loading_;     ///< The version that parts are being read for.
--- a/include/kumquatpitch/request-driver.h
+++ b/include/kumquatpitch/request-driver.h
@@ -43,7 +43,7 @@
   /// What a worker waits for, and how its attempt is ended.
   struct Mailbox {
     std::condition_variable Arrived_;
-    std::optional<Step> Next_;
+    std::optional<NextStep> Next_;
     AttemptId Attempt_ = 0; ///< 0 while none runs.
     std::shared_ptr<AttemptCanceller> Canceller_;
   };
@@ -61,7 +61,7 @@
                            CallerPresence &Presence);
   AttemptResult runAttempt(FlowId Flow, Mailbox &Box, const AttemptOrder &Order,
                            const HttpRequest &Request);
-  Step waitForStep(Mailbox &Box);
+  NextStep waitForStep(Mailbox &Box);
   std::vector<Cancellation> carryOut(const CoreActions &Actions);
 
   HostCore &Core_;
--- a/include/kumquatpitch/request-flow.h
+++ b/include/kumquatpitch/request-flow.h
@@ -10,7 +10,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +42,11 @@
   /// Ends attempts whose deadline has passed and forgets expired ids.
   CoreActions tick(TimePoint Now);
 
+  /// Ends attempts at an ejected target that can go on elsewhere, and those on
+  /// silent connections.
+  CoreActions onHealthChange(const ServiceRuntime &Service,
+                             const HealthChange &Change);
+
   RequestRegistry &registry() { return Registry_; }
   std::size_t inProgress() const { return Flows_.size(); }
 
@@ -57,7 +61,7 @@
     TimePoint Deadline_;
     AttemptId Attempt_ = 0; ///< 0 while none runs.
     TargetId Target_;
-    std::set<TargetId> Tried_;
+    std::vector<TargetId> Tried_;
     std::uint32_t Attempts_ = 0;
     bool MayHaveRun_ = false; ///< An attempt ended without proof of not-run.
     bool IsAbandoned_ = false;
@@ -65,12 +69,13 @@
   };
   using FlowMap = std::map<FlowId, FlowState>;
 
-  Step bind(const RoutedRequest &Routed, FlowState &Entry, TimePoint Now);
-  Step start(FlowId Id, FlowState &Entry, TimePoint Now);
-  Step afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End, TimePoint Now);
-  Step refuse(const FlowState &Entry, ResultCode Code,
-              const std::string &Message);
-  void close(FlowMap::iterator At, const Step &Last, int HttpStatus,
+  NextStep bind(const RoutedRequest &Routed, FlowState &Entry, TimePoint Now);
+  NextStep start(FlowId Id, FlowState &Entry, TimePoint Now);
+  NextStep afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End,
+                        TimePoint Now);
+  NextStep refuse(const FlowState &Entry, ResultCode Code,
+                  const std::string &Message);
+  void close(FlowMap::iterator At, const NextStep &Last, int HttpStatus,
              TimePoint Now);
 
   const HostId Self_;
--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -1,6 +1,6 @@
 // One service as this host serves it: its entry and terms, and the components
-// that decide about its targets. RequestFlow asks it; HostCore renews it when
-// the configuration or the group changes.
+// that decide about its targets. RequestFlow asks it for targets; HostCore
+// renews it when the configuration or the group changes.
 
 #ifndef KUMQUATPITCH_SERVICE_RUNTIME_H
 #define KUMQUATPITCH_SERVICE_RUNTIME_H
@@ -9,14 +9,15 @@
 #include "kumquatpitch/attempt.h"
 #include "kumquatpitch/burn-rate.h"
 #include "kumquatpitch/contract.h"
+#include "kumquatpitch/host-status.h"
 #include "kumquatpitch/service-entry.h"
 #include "kumquatpitch/slot-plan.h"
+#include "kumquatpitch/target-health.h"
+#include "kumquatpitch/target-picker.h"
 
-#include <deque>
-#include <map>
 #include <memory>
 #include <optional>
-#include <set>
+#include <vector>
 
 namespace kumquatpitch {
 
@@ -30,7 +31,9 @@
 
 class ServiceRuntime {
 public:
-  ServiceRuntime(ServiceConfig Config, const HostId &Self, TimePoint Now);
+  /// `Random` must outlive the object.
+  ServiceRuntime(ServiceConfig Config, const HostId &Self, RandomSource &Random,
+                 TimePoint Now);
 
   /// Takes a changed configuration; what stays keeps its state.
   void setConfig(ServiceConfig Config, TimePoint Now);
@@ -38,32 +41,93 @@
   const ServiceConfig &config() const { return Config_; }
   const ServiceTerms &terms() const { return *Config_.Terms_; }
   const ServiceEntry &entry() const { return *Config_.Entry_; }
-
   const SlotPlan &plan() const { return Plan_; }
 
   /// True when this host is in the service's group.
   bool isAssigned() const { return IsAssigned_; }
 
-  /// A target with a free slot of this host, or none.
-  std::optional<TargetId> pick(const std::set<TargetId> &Excluded,
+  /// True when this host has slots that it may use now.
+  bool hasSlots() const { return !Usable_.empty(); }
+
+  /// Targets at which this host has slots.
+  std::size_t targetsWithSlots() const { return Usable_.size(); }
+
+  /// A target that may get an attempt now, or none.
+  std::optional<TargetId> pick(const std::vector<TargetId> &Excluded,
                                TimePoint Now);
 
-  void attemptStarted(const TargetId &Target, AttemptId Attempt, TimePoint Now);
+  /// True when the next attempt at the target is to open a new connection.
+  bool wantsNewConnection(const TargetId &Target, TimePoint Now) const {
+    return Health_.wantsNewConnection(Target, Now);
+  }
+
+  void attemptStarted(const TargetId &Target, AttemptId Attempt,
+                      bool NewConnection, TimePoint Now);
   void attemptEnded(const TargetId &Target, AttemptId Attempt,
                     const AttemptReport &Report, TimePoint Now);
 
+  /// Takes a peer's word that a target drains.
+  void markDraining(const TargetId &Target, TimePoint Now);
+
+  /// Makes slots usable that fell due, and decides on ejections.
+  std::vector<HealthChange> tick(TimePoint Now);
+
+  TargetHealth &health() { return Health_; }
   BurnRate &burn() { return Burn_; }
+  const BurnRate &burn() const { return Burn_; }
+
+  /// Report for operators.
+  ServiceStatus status(TimePoint Now) const;
 
 private:
+  /// Health as target selection sees it.
+  class Availability : public TargetAvailability {
+  public:
+    explicit Availability(const TargetHealth &Health) : Health_(Health) {}
+
+    bool isUsable(const TargetId &Target) const override {
+      return Health_.isUsable(Target);
+    }
+    double rampShare(const TargetId &Target, TimePoint Now) const override {
+      return Health_.rampShare(Target, Now);
+    }
+
+  private:
+    const TargetHealth &Health_;
+  };
+
+  void applySlots(TimePoint Now);
+  void noteCondition(const HealthChange &Change, TimePoint Now);
+  TargetStatus targetStatus(const Target &Listed, TimePoint Now) const;
+
+  /// Why a target is not used, for operators.
+  struct Condition {
+    TargetCondition Value_ = TargetCondition::Usable;
+    std::string Cause_;
+    std::vector<Figure> Figures_;
+    TimePoint Since_;
+  };
+
   ServiceConfig Config_;
   const HostId Self_;
   bool IsAssigned_ = false;
   SlotPlan Plan_;
   OwnSlots Slots_;
-  std::map<TargetId, std::uint32_t> InProgress_; ///< At most the own slots.
+  SlotShares Usable_; ///< As handed to Picker_ and Health_.
+  TargetPicker Picker_;
+  TargetHealth Health_;
   BurnRate Burn_;
+  std::map<TargetId, Condition>
+      Conditions_; ///< Of targets that are not usable.
 };
 
+/// Name of a cause in logs and status, such as `stalled`.
+const char *suspicionCauseName(SuspicionCause Cause);
+
+/// One sentence on a decision, with its cause and figures, for the log.
+std::string describeChange(const ServiceName &Service,
+                           const HealthChange &Change);
+
 } // namespace kumquatpitch
 
 #endif
--- a/src/backend-connection.cc
+++ b/src/backend-connection.cc
@@ -4,6 +4,8 @@
 
 namespace kumquatpitch::detail {
 
+static constexpr std::chrono::milliseconds StopTolerance{500};
+
 BackendConnection::BackendConnection(const Endpoint &Address,
                                      std::uint64_t Generation)
     : ClientImpl(Address.Address_, Address.Port_), Address_(Address),
@@ -23,8 +25,10 @@
   MayWrite_ = &MayWrite;
   Current_ = &Seen;
   set_connection_timeout(Remaining);
-  set_read_timeout(Remaining);
-  set_write_timeout(Remaining);
+  // The caller's stop() ends the exchange at its deadline. The library's own
+  // limits come later, so that the cause of the end is known.
+  set_read_timeout(Remaining + StopTolerance);
+  set_write_timeout(Remaining + StopTolerance);
   Request.content_receiver = [&](const char *Bytes, size_t Count, uint64_t,
                                  uint64_t) {
     Seen.IsTooLarge_ = Seen.Response_.body.size() + Count > MaxAnswerBytes;
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -3,16 +3,25 @@
 #include "kumquatpitch/host-core.h"
 
 #include "kumquatpitch/assignment.h"
+#include "kumquatpitch/metrics-format.h"
 
 namespace kumquatpitch {
 
+static std::string describeFault(const HostFault &Fault) {
+  if (Fault.Cause_ == HostFaultCause::LateTimer)
+    return "own pause of " + std::to_string(toMilliseconds(Fault.Lateness_)) +
+           " ms noticed; no target is ejected for it";
+  return "many targets of " + std::to_string(Fault.Services_) +
+         " services turned bad at once; taken as this host's own fault";
+}
+
 HostCore::HostCore(HostIdentity Self, HostServices Services, TimePoint Start)
     : Self_(std::move(Self)), Start_(Start), Random_(Services.Random_),
       Log_(Services.Log_),
       Exchange_(Self_.Id_, Self_.Incarnation_, Self_.Seeds_,
                 Services.Transport_, Metrics_),
       Peers_(Self_.Id_), Flow_(Self_.Id_, Self_.Incarnation_, Start),
-      NextHeartbeat_(Start) {}
+      NextHeartbeat_(Start), LastTick_(Start), NotLiveSince_(Start) {}
 
 void HostCore::applyCatalog(std::shared_ptr<const Catalog> Value,
                             TimePoint Now) {
@@ -29,6 +38,11 @@
     return;
   Hosts_ = std::move(List);
   Exchange_.setHosts(Hosts_);
+  const HostRecord *Own = findHost(Hosts_, Self_.Id_);
+  if (Own && Own->State_ == HostState::Live)
+    NotLiveSince_.reset();
+  else if (!NotLiveSince_)
+    NotLiveSince_ = Now;
   Log_.log(LogLevel::Info, "hosts",
            "list " + std::to_string(Hosts_.Version_) + " names " +
                std::to_string(Hosts_.Hosts_.size()) + " hosts");
@@ -49,8 +63,9 @@
                            Assigned.group(*Entry)};
       const ServiceMap::iterator Known = Services_.find(Terms.Service_);
       if (Known == Services_.end()) {
-        Renewed.emplace(Terms.Service_, std::make_shared<ServiceRuntime>(
-                                            std::move(Config), Self_.Id_, Now));
+        Renewed.emplace(Terms.Service_,
+                        std::make_shared<ServiceRuntime>(
+                            std::move(Config), Self_.Id_, Random_, Now));
         continue;
       }
       Known->second->setConfig(std::move(Config), Now);
@@ -62,11 +77,16 @@
 
 void HostCore::renewPeers() {
   GroupPeers_.clear();
-  for (const ServiceMap::value_type &Each : Services_)
-    if (Each.second->isAssigned())
-      for (const GroupMember &Member : Each.second->config().Group_.Members_)
-        GroupPeers_.insert(Member.Host_);
+  std::map<ServiceName, std::size_t> TargetCounts;
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->isAssigned())
+      continue;
+    TargetCounts.emplace(Each.first, Each.second->entry().Targets_.size());
+    for (const GroupMember &Member : Each.second->config().Group_.Members_)
+      GroupPeers_.insert(Member.Host_);
+  }
   GroupPeers_.erase(Self_.Id_);
+  Faults_.setServices(std::move(TargetCounts));
 }
 
 std::uint64_t HostCore::maxBodyBytes(const CustomerName &Customer,
@@ -118,13 +138,36 @@
     sendHeartbeats(Now);
     Peers_.expire(Now);
   }
-  return Flow_.tick(Now);
+  CoreActions Actions = Flow_.tick(Now);
+  evaluateTargets(Actions, Now);
+  return Actions;
+}
+
+void HostCore::evaluateTargets(CoreActions &Actions, TimePoint Now) {
+  Faults_.timerFired(LastTick_ + TickPeriod, Now);
+  LastTick_ = Now;
+  const std::optional<HostFault> Fault = Faults_.ownFaultSuspected(Now);
+  if (Fault && !IsFaultLogged_)
+    Log_.log(LogLevel::Warning, "detector", describeFault(*Fault));
+  IsFaultLogged_ = Fault.has_value();
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (Fault)
+      Each.second->health().clearEvidence(Now);
+    for (const HealthChange &Change : Each.second->tick(Now)) {
+      if (Change.Kind_ == HealthChangeKind::Suspected)
+        Faults_.targetTurnedBad(Each.first, Change.Target_, Now);
+      else
+        Log_.log(LogLevel::Info, "detector",
+                 describeChange(Each.first, Change));
+      const CoreActions More = Flow_.onHealthChange(*Each.second, Change);
+      Actions.insert(Actions.end(), More.begin(), More.end());
+    }
+  }
 }
 
 void HostCore::sendHeartbeats(TimePoint Now) {
-  const HeartbeatMessage Beat =
-      Peers_.nextHeartbeat(Flow_.registry().issueEpoch(Now), IsLeaving_,
-                           ConfigState(), Now);
+  const HeartbeatMessage Beat = Peers_.nextHeartbeat(
+      Flow_.registry().issueEpoch(Now), IsLeaving_, ConfigState(), Now);
   for (const HostId &Peer : GroupPeers_)
     Exchange_.send(Peer, Beat);
 }
@@ -200,17 +243,55 @@
   return Host == Self_.Id_ ? IsLeaving_ : Peers_.isLeaving(Host);
 }
 
+HostStatus HostCore::status(TimePoint Now) const {
+  HostStatus Status;
+  Status.Host_ = Self_.Id_;
+  Status.Incarnation_ = Self_.Incarnation_;
+  Status.Region_ = Self_.Region_;
+  Status.Domain_ = Self_.Domain_;
+  Status.ConfigVersion_ = Catalog_ ? Catalog_->Version_ : 0;
+  Status.Ready_ = isReady();
+  Status.Leaving_ = IsLeaving_;
+  Status.UpFor_ = Now - Start_;
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->isAssigned())
+      continue;
+    Status.Services_.push_back(Each.second->status(Now));
+    Status.Burn_.push_back(Each.second->burn().snapshot(Now));
+  }
+  for (const HostId &Peer : GroupPeers_)
+    Status.Peers_.push_back(peerStatus(Peer, Now));
+  return Status;
+}
+
+PeerStatus HostCore::peerStatus(const HostId &Peer, TimePoint Now) const {
+  PeerStatus Status;
+  Status.Host_ = Peer;
+  if (Peers_.heard(Peer, Now))
+    Status.Direction_ = Peers_.hearsUs(Peer, Now) ? PeerDirection::Both
+                                                  : PeerDirection::OnlyFrom;
+  return Status;
+}
+
+std::string HostCore::metricsText(TimePoint Now) const {
+  return formatMetrics(Metrics_.snapshot(Now), status(Now));
+}
+
 void HostCore::beginStop(TimePoint Now) {
   if (IsLeaving_)
     return;
   IsLeaving_ = true;
   LeavingSince_ = Now;
+  sendHeartbeats(Now);
   Log_.log(LogLevel::Info, "stop", "leaving; no new callers are sent here");
 }
 
 bool HostCore::mayStop(TimePoint Now) const {
-  return IsLeaving_ && Now - LeavingSince_ > AddressKeepTime &&
-         Flow_.inProgress() == 0;
+  // Hosts of the group learn of the stop by heartbeats, all others by the list.
+  // Each may have given this host's address until then, to be kept for a while.
+  return IsLeaving_ && Flow_.inProgress() == 0 && NotLiveSince_ &&
+         Now - LeavingSince_ > AddressKeepTime + HeartbeatTimeout &&
+         Now - *NotLiveSince_ > AddressKeepTime + ListSettleTime;
 }
 
 } // namespace kumquatpitch
--- a/src/host-daemon.cc
+++ b/src/host-daemon.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t MaxKeptConnections = 32;
+constexpr std::size_t MaxDialedPeers = 256;
 constexpr Duration PlatformTimeout = std::chrono::seconds(2);
 
 std::uint64_t drawSeed() {
@@ -18,7 +19,8 @@
 }
 
 HostIdentity makeIdentity(const Settings &Given) {
-  return HostIdentity{Given.Id_, Given.Region_, Given.Domain_, drawSeed() | 1};
+  return HostIdentity{Given.Id_, Given.Region_, Given.Domain_, drawSeed() | 1,
+                      Given.Seeds_};
 }
 
 FrontLimits makeLimits(const Settings &Given) {
@@ -35,11 +37,13 @@
 HostDaemon::HostDaemon(Settings Given)
     : Settings_(std::move(Given)), Timers_(Context_), Log_(Settings_.LogLevel_),
       Random_(drawSeed()),
-      Core_(makeIdentity(Settings_), Random_, Log_, Timers_.now()),
+      Core_(makeIdentity(Settings_), HostServices{Random_, Log_, Link_},
+            Timers_.now()),
       Backends_(Timers_, MaxKeptConnections),
       Driver_(Core_, Backends_, Timers_),
       Front_(Context_, Driver_, makeLimits(Settings_)),
-      Platform_(Settings_.Platform_, PlatformTimeout), Signals_(Context_) {}
+      Platform_(Settings_.Platform_, PlatformTimeout), Operators_(*this),
+      Signals_(Context_) {}
 
 HostDaemon::~HostDaemon() = default;
 
@@ -48,6 +52,9 @@
        Settings_.CustomerPorts_)
     BOOST_LEAF_CHECK(
         Front_.listen(Each.first, Endpoint{Settings_.Address_, Each.second}));
+  BOOST_LEAF_CHECK(openPeerTransport());
+  BOOST_LEAF_CHECK(Operators_.start(
+      Endpoint{Settings_.OperatorAddress_, Settings_.OperatorPort_}));
   Signals_.add(SIGTERM);
   Signals_.add(SIGINT);
   Signals_.async_wait([this](const std::error_code &Error, int) {
@@ -59,10 +66,42 @@
                     [this](TimePoint) { pollPlatform(); });
   Context_.run();
   Front_.join();
+  Link_.close();
+  Operators_.stop();
   Log_.log(LogLevel::Info, "stop", "done");
   return {};
 }
 
+Result<void> HostDaemon::openPeerTransport() {
+  const auto OnMessage = [this](std::string Message, std::string Sender) {
+    Driver_.drive([&](HostCore &Core, TimePoint Now) {
+      return Core.receivePeer(Message, Sender, Now);
+    });
+  };
+  BOOST_LEAF_AUTO(Transport, NngTransport::open(Endpoint{Settings_.Address_,
+                                                         Settings_.PeerPort_},
+                                                MaxDialedPeers, OnMessage));
+  Driver_.drive([&](HostCore &, TimePoint) {
+    Link_.open(std::move(Transport));
+    return CoreActions();
+  });
+  return {};
+}
+
+bool HostDaemon::ready() {
+  return Driver_.read([](HostCore &Core, TimePoint) { return Core.isReady(); });
+}
+
+std::string HostDaemon::metricsText() {
+  return Driver_.read(
+      [](HostCore &Core, TimePoint Now) { return Core.metricsText(Now); });
+}
+
+HostStatus HostDaemon::status() {
+  return Driver_.read(
+      [](HostCore &Core, TimePoint Now) { return Core.status(Now); });
+}
+
 void HostDaemon::tick(TimePoint Now) {
   Driver_.drive([](HostCore &Core, TimePoint At) { return Core.tick(At); });
   const bool MayStop = Driver_.read(
--- a/src/request-driver.cc
+++ b/src/request-driver.cc
@@ -137,7 +137,8 @@
   {
     const std::lock_guard<std::mutex> Lock(Mutex_);
     Next = Core_.admit(Caller, Timers_.now());
-    if (const RequestRefusal *Refused = std::get_if<RequestRefusal>(&Next.Step_))
+    if (const RequestRefusal *Refused =
+            std::get_if<RequestRefusal>(&Next.Step_))
       return makeRefusal(*Refused);
     Box = &Mailboxes_[Next.Flow_];
   }
@@ -192,10 +193,10 @@
   return Ended;
 }
 
-Step RequestDriver::waitForStep(Mailbox &Box) {
+NextStep RequestDriver::waitForStep(Mailbox &Box) {
   std::unique_lock<std::mutex> Lock(Mutex_);
   Box.Arrived_.wait(Lock, [&Box] { return Box.Next_.has_value(); });
-  Step Next = std::move(*Box.Next_);
+  NextStep Next = std::move(*Box.Next_);
   Box.Next_.reset();
   return Next;
 }
--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Refused where nothing can have been sent for the request.
-Step refuseNotRun(ResultCode Code, const std::string &Message) {
+NextStep refuseNotRun(ResultCode Code, const std::string &Message) {
   return RequestRefusal{Code, Outcome::NotRun, Message, {}};
 }
 
@@ -55,19 +55,19 @@
   return Addresses;
 }
 
-Outcome outcomeOf(const Step &Last) {
+Outcome outcomeOf(const NextStep &Last) {
   if (std::holds_alternative<Deliver>(Last))
     return Outcome::Ran;
   return std::get<RequestRefusal>(Last).Outcome_;
 }
 
-ResultCode codeOf(const Step &Last) {
+ResultCode codeOf(const NextStep &Last) {
   if (std::holds_alternative<Deliver>(Last))
     return ResultCode::Ok;
   return std::get<RequestRefusal>(Last).Code_;
 }
 
-bool isLast(const Step &Next) {
+bool isLast(const NextStep &Next) {
   return std::holds_alternative<Deliver>(Next) ||
          std::holds_alternative<RequestRefusal>(Next);
 }
@@ -87,7 +87,7 @@
   const Duration Longest = Entry.Service_->terms().Deadline_;
   Entry.Deadline_ =
       Now + std::min(Longest, Routed.Request_.Deadline_.value_or(Longest));
-  Step First = bind(Routed, Entry, Now);
+  NextStep First = bind(Routed, Entry, Now);
   if (std::holds_alternative<Wait>(First))
     First = start(Id, Entry, Now);
   if (isLast(First))
@@ -98,13 +98,13 @@
 /// Checks the token of a request that may not be repeated. This comes before
 /// every other refusal as `not-run`, so that a delayed copy of a refused
 /// request never runs. Gives Wait when the request may go on.
-Step RequestFlow::bind(const RoutedRequest &Routed, FlowState &Entry,
-                       TimePoint Now) {
+NextStep RequestFlow::bind(const RoutedRequest &Routed, FlowState &Entry,
+                           TimePoint Now) {
   const CallerRequest &Request = Routed.Request_;
   if (Entry.IsIdempotent_ || Request.Token_.empty())
     return Wait();
   return handleFailure(
-      [&]() -> Result<Step> {
+      [&]() -> Result<NextStep> {
         BOOST_LEAF_ASSIGN(Entry.Token_, parseToken(Request.Token_));
         Entry.Key_ =
             RequestKey{Request.Customer_, Entry.Service_->entry().Service_,
@@ -113,24 +113,25 @@
             Registry_.begin(Entry.Token_, Entry.Key_, Now);
         Entry.IsBound_ = Begun.Run_;
         if (Begun.Run_)
-          return Step(Wait());
-        return Step(RequestRefusal{Begun.Code_, Begun.Outcome_,
-                            "the request is bound by its token",
-                            addressesOf(Entry.Service_->config().Group_)});
+          return NextStep(Wait());
+        return NextStep(RequestRefusal{
+            Begun.Code_, Begun.Outcome_, "the request is bound by its token",
+            addressesOf(Entry.Service_->config().Group_)});
       },
       [](const Failure &Cause) {
         // A resend with a damaged token may have run under the true one.
-        return Step(RequestRefusal{Cause.Code_, Outcome::Unknown, Cause.Message_, {}});
+        return NextStep(
+            RequestRefusal{Cause.Code_, Outcome::Unknown, Cause.Message_, {}});
       });
 }
 
-Step RequestFlow::start(FlowId Id, FlowState &Entry, TimePoint Now) {
+NextStep RequestFlow::start(FlowId Id, FlowState &Entry, TimePoint Now) {
   static_cast<void>(Id);
   ServiceRuntime &Service = *Entry.Service_;
   if (!Service.isAssigned()) {
     RequestRefusal Elsewhere{ResultCode::WrongHost, Outcome::NotRun,
-                      "this host does not serve the service",
-                      addressesOf(Service.config().Group_)};
+                             "this host does not serve the service",
+                             addressesOf(Service.config().Group_)};
     return Elsewhere;
   }
   if (Now >= Entry.Deadline_)
@@ -141,10 +142,14 @@
   const Target *Found = findTarget(Service.entry(), *Chosen);
   Entry.Attempt_ = NextAttempt_++;
   Entry.Target_ = *Chosen;
-  Entry.Tried_.insert(*Chosen);
+  Entry.Tried_.push_back(*Chosen);
   Entry.IsCancelled_ = false;
   ++Entry.Attempts_;
-  Service.attemptStarted(*Chosen, Entry.Attempt_, Now);
+  // A kept connection may be closing at the other end, which would leave a
+  // request that may not be repeated as unknown.
+  const bool IsFresh =
+      !Entry.IsIdempotent_ || Service.wantsNewConnection(*Chosen, Now);
+  Service.attemptStarted(*Chosen, Entry.Attempt_, IsFresh, Now);
   AttemptOrder Order;
   Order.Id_ = Entry.Attempt_;
   Order.WireId_ = wireId(Incarnation_, Entry.Attempt_);
@@ -152,9 +157,7 @@
   Order.Target_ = *Chosen;
   Order.Address_ = Found->Address_;
   Order.Deadline_ = Entry.Deadline_;
-  // A kept connection may be closing at the other end, which would leave a
-  // request that may not be repeated as unknown.
-  Order.FreshConnection_ = !Entry.IsIdempotent_;
+  Order.FreshConnection_ = IsFresh;
   Order.MaxAnswerBytes_ = Service.terms().MaxAnswerBytes_;
   Order.EchoHeader_ = Service.entry().EchoHeader_;
   Order.Refusal_ = Service.entry().Refusal_;
@@ -163,8 +166,8 @@
   return Order;
 }
 
-Step RequestFlow::refuse(const FlowState &Entry, ResultCode Code,
-                         const std::string &Message) {
+NextStep RequestFlow::refuse(const FlowState &Entry, ResultCode Code,
+                             const std::string &Message) {
   if (Entry.MayHaveRun_)
     return RequestRefusal{Code, Outcome::Unknown, Message, {}};
   return refuseNotRun(Code, Message);
@@ -179,29 +182,33 @@
   Entry.Service_->attemptEnded(Entry.Target_, Entry.Attempt_, Report, Now);
   Entry.Attempt_ = 0;
   const bool IsAnswered = Report.End_ == AttemptEnd::Answered;
-  const Step Next = IsAnswered ? Step(Deliver())
-                               : afterFailure(Flow, Entry, Report.End_, Now);
+  const NextStep Next = IsAnswered
+                            ? NextStep(Deliver())
+                            : afterFailure(Flow, Entry, Report.End_, Now);
   if (isLast(Next))
     close(At, Next, Report.HttpStatus_, Now);
   return {FlowStep{Flow, Next}};
 }
 
-Step RequestFlow::afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End,
-                               TimePoint Now) {
+NextStep RequestFlow::afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End,
+                                   TimePoint Now) {
   if (!provesNotRun(End))
     Entry.MayHaveRun_ = true;
-  const bool MayTryAgain =
-      End == AttemptEnd::ConnectFailed && Entry.Attempts_ < 2;
+  const std::uint32_t MaxAttempts =
+      Entry.IsIdempotent_ ? Entry.Service_->terms().Retry_.MaxAttempts_
+      : End == AttemptEnd::ConnectFailed ? 2
+                                         : 1;
+  const bool MayTryAgain = Entry.Attempts_ < MaxAttempts;
   if (MayTryAgain && !Entry.IsAbandoned_) {
-    Step Again = start(Id, Entry, Now);
+    NextStep Again = start(Id, Entry, Now);
     if (std::holds_alternative<AttemptOrder>(Again))
       return Again;
   }
   return refuse(Entry, codeOf(End), "the attempt at the backend server failed");
 }
 
-void RequestFlow::close(FlowMap::iterator At, const Step &Last, int HttpStatus,
-                        TimePoint Now) {
+void RequestFlow::close(FlowMap::iterator At, const NextStep &Last,
+                        int HttpStatus, TimePoint Now) {
   FlowState &Entry = At->second;
   if (Entry.IsBound_)
     Registry_.finish(Entry.Token_, Entry.Key_, outcomeOf(Last), Now);
@@ -240,4 +247,33 @@
   return Actions;
 }
 
+CoreActions RequestFlow::onHealthChange(const ServiceRuntime &Service,
+                                        const HealthChange &Change) {
+  CoreActions Actions;
+  const bool IsSilent = Change.Kind_ == HealthChangeKind::CloseConnections;
+  if (IsSilent)
+    Actions.push_back(CloseConnections{
+        findTarget(Service.entry(), Change.Target_)->Address_});
+  if (!IsSilent && Change.Kind_ != HealthChangeKind::Ejected)
+    return Actions;
+  for (FlowMap::value_type &Each : Flows_) {
+    FlowState &Entry = Each.second;
+    if (Entry.Service_.get() != &Service || Entry.Attempt_ == 0 ||
+        Entry.IsCancelled_ || Entry.Target_ != Change.Target_)
+      continue;
+    const bool IsOnSilent =
+        IsSilent &&
+        std::find(Change.Silent_->Attempts_.begin(),
+                  Change.Silent_->Attempts_.end(),
+                  Entry.Attempt_) != Change.Silent_->Attempts_.end();
+    // Work that can go on elsewhere need not wait for the deadline.
+    const bool CanMove = !IsSilent && Entry.IsIdempotent_;
+    if (!IsOnSilent && !CanMove)
+      continue;
+    Entry.IsCancelled_ = true;
+    Actions.push_back(CancelAttempt{Entry.Attempt_, AttemptEnd::TimedOut});
+  }
+  return Actions;
+}
+
 } // namespace kumquatpitch
--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -2,12 +2,54 @@
 
 #include "kumquatpitch/service-runtime.h"
 
+#include <cstdio>
+
 namespace kumquatpitch {
 
+namespace {
+
+std::vector<Figure> figuresOf(const HealthChange &Change) {
+  std::vector<Figure> Figures = {
+      {"usable_slots", static_cast<double>(Change.UsableSlots_)},
+      {"floor_share_slots", static_cast<double>(Change.ShareSlots_)}};
+  if (!Change.Suspicion_)
+    return Figures;
+  const Suspicion &Cause = *Change.Suspicion_;
+  Figures.push_back({"score", Cause.Score_});
+  Figures.push_back({"oldest_wait_ms", static_cast<double>(toMilliseconds(
+                                           Cause.OldestWaiting_))});
+  Figures.push_back({"bad_requests", static_cast<double>(Cause.Bad_)});
+  Figures.push_back({"good_requests", static_cast<double>(Cause.Good_)});
+  Figures.push_back({"peer_score", Cause.PeerScore_});
+  Figures.push_back({"latency_ratio", Cause.LatencyRatio_});
+  return Figures;
+}
+
+const char *changeVerb(HealthChangeKind Kind) {
+  switch (Kind) {
+  case HealthChangeKind::Suspected:
+    return "suspected";
+  case HealthChangeKind::Ejected:
+    return "ejected";
+  case HealthChangeKind::HeldByFloor:
+    return "held by the floor";
+  case HealthChangeKind::Reinstated:
+    return "reinstated";
+  case HealthChangeKind::ReinstatedByFloor:
+    return "reinstated for the floor";
+  case HealthChangeKind::CloseConnections:
+    return "silent on kept connections";
+  }
+  return "";
+}
+
+} // namespace
+
 ServiceRuntime::ServiceRuntime(ServiceConfig Config, const HostId &Self,
-                               TimePoint Now)
-    : Self_(Self), Burn_(Config.Contract_->Customer_, Config.Terms_->Service_,
-                         Config.Terms_->Slo_, Now) {
+                               RandomSource &Random, TimePoint Now)
+    : Self_(Self), Picker_(Random),
+      Burn_(Config.Contract_->Customer_, Config.Terms_->Service_,
+            Config.Terms_->Slo_, Now) {
   setConfig(std::move(Config), Now);
 }
 
@@ -17,32 +59,140 @@
   Plan_ = slotPlan(entry(), Config_.Group_);
   Slots_.setPlan(Plan_.ownShares(Self_), terms().Deadline_, Now);
   Burn_.setObjective(terms().Slo_, Now);
+  applySlots(Now);
+}
+
+void ServiceRuntime::applySlots(TimePoint Now) {
+  Usable_ = Slots_.usable(Now);
+  Picker_.setTargets(entry(), Usable_, Now);
+  std::map<TargetId, std::uint32_t> Counts;
+  for (const SlotShares::value_type &Each : Usable_)
+    Counts.emplace(Each.first, Each.second.Slots_);
+  Health_.setEntry(entry(), Counts, Now);
+}
+
+std::optional<TargetId>
+ServiceRuntime::pick(const std::vector<TargetId> &Excluded, TimePoint Now) {
+  return Picker_.pick(Excluded, Availability(Health_), Now);
+}
+
+void ServiceRuntime::attemptStarted(const TargetId &Target, AttemptId Attempt,
+                                    bool NewConnection, TimePoint Now) {
+  Picker_.started(Target);
+  Health_.attemptStarted(Target, Attempt, NewConnection, Now);
 }
 
-std::optional<TargetId> ServiceRuntime::pick(const std::set<TargetId> &Excluded,
-                                             TimePoint Now) {
-  std::optional<TargetId> Best;
-  const SlotShares Shares = Slots_.usable(Now);
-  for (const Target &Each : entry().Targets_) {
-    const SlotShares::const_iterator It = Shares.find(Each.Id_);
-    if (It == Shares.end() || Excluded.count(Each.Id_) ||
-        Each.State_ == TargetState::Leaving ||
-        InProgress_[Each.Id_] >= It->second.Slots_)
-      continue;
-    if (!Best || InProgress_[Each.Id_] < InProgress_[*Best])
-      Best = Each.Id_;
+void ServiceRuntime::attemptEnded(const TargetId &Target, AttemptId Attempt,
+                                  const AttemptReport &Report, TimePoint Now) {
+  Picker_.ended(Target, Report, Now);
+  Health_.attemptEnded(Target, Attempt, Report, Now);
+  if (Report.Draining_)
+    markDraining(Target, Now);
+}
+
+void ServiceRuntime::markDraining(const TargetId &Target, TimePoint Now) {
+  Picker_.markDraining(Target, Now);
+  Health_.markLeaving(Target, Now);
+  if (!Conditions_.count(Target))
+    Conditions_[Target] =
+        Condition{TargetCondition::Draining, "drain marker", {}, Now};
+}
+
+std::vector<HealthChange> ServiceRuntime::tick(TimePoint Now) {
+  if (Slots_.usable(Now) != Usable_)
+    applySlots(Now);
+  std::vector<HealthChange> Changes = Health_.evaluate(Now);
+  for (const HealthChange &Change : Changes)
+    noteCondition(Change, Now);
+  return Changes;
+}
+
+void ServiceRuntime::noteCondition(const HealthChange &Change, TimePoint Now) {
+  switch (Change.Kind_) {
+  case HealthChangeKind::Ejected:
+  case HealthChangeKind::HeldByFloor: {
+    const bool IsEjected = Change.Kind_ == HealthChangeKind::Ejected;
+    Conditions_[Change.Target_] = Condition{
+        IsEjected ? TargetCondition::Ejected : TargetCondition::HeldByFloor,
+        Change.Suspicion_ ? suspicionCauseName(Change.Suspicion_->Cause_) : "",
+        figuresOf(Change), Now};
+    return;
+  }
+  case HealthChangeKind::Reinstated:
+  case HealthChangeKind::ReinstatedByFloor:
+    Conditions_.erase(Change.Target_);
+    return;
+  case HealthChangeKind::Suspected:
+  case HealthChangeKind::CloseConnections:
+    return;
   }
-  return Best;
 }
 
-void ServiceRuntime::attemptStarted(const TargetId &Target, AttemptId,
-                                    TimePoint) {
-  ++InProgress_[Target];
+TargetStatus ServiceRuntime::targetStatus(const Target &Listed,
+                                          TimePoint Now) const {
+  TargetStatus Status;
+  Status.Id_ = Listed.Id_;
+  Status.OwnSlots_ = Plan_.ownSlots(Self_, Listed.Id_).Slots_;
+  Status.InProgress_ = Picker_.inProgress(Listed.Id_);
+  const std::map<TargetId, Condition>::const_iterator It =
+      Conditions_.find(Listed.Id_);
+  if (It != Conditions_.end()) {
+    Status.Condition_ = It->second.Value_;
+    Status.Cause_ = It->second.Cause_;
+    Status.Figures_ = It->second.Figures_;
+    Status.Since_ = Now - It->second.Since_;
+  }
+  if (Listed.State_ == TargetState::Serving)
+    return Status;
+  const bool IsLeaving = Listed.State_ == TargetState::Leaving;
+  Status.Condition_ =
+      IsLeaving ? TargetCondition::Leaving : TargetCondition::Starting;
+  Status.Cause_ = "service entry";
+  return Status;
+}
+
+ServiceStatus ServiceRuntime::status(TimePoint Now) const {
+  ServiceStatus Status;
+  Status.Customer_ = entry().Customer_;
+  Status.Service_ = entry().Service_;
+  Status.EntryVersion_ = entry().Version_;
+  Status.FloorTargets_ = entry().FloorTargets_;
+  for (const GroupMember &Member : Config_.Group_.Members_)
+    Status.Group_.push_back(Member.Host_);
+  for (const Target &Each : entry().Targets_)
+    Status.Targets_.push_back(targetStatus(Each, Now));
+  return Status;
 }
 
-void ServiceRuntime::attemptEnded(const TargetId &Target, AttemptId,
-                                  const AttemptReport &, TimePoint) {
-  --InProgress_[Target];
+const char *suspicionCauseName(SuspicionCause Cause) {
+  switch (Cause) {
+  case SuspicionCause::Stalled:
+    return "stalled";
+  case SuspicionCause::Errors:
+    return "errors";
+  case SuspicionCause::Slow:
+    return "slow";
+  }
+  return "";
+}
+
+std::string describeChange(const ServiceName &Service,
+                           const HealthChange &Change) {
+  std::string Text = Service.str() + " " + Change.Target_.str() + " " +
+                     changeVerb(Change.Kind_);
+  if (Change.Suspicion_)
+    Text +=
+        std::string(", cause ") + suspicionCauseName(Change.Suspicion_->Cause_);
+  if (Change.EjectedFor_ > Duration::zero())
+    Text +=
+        ", for " + std::to_string(toMilliseconds(Change.EjectedFor_)) + " ms";
+  for (const Figure &Each : figuresOf(Change)) {
+    char Number[64];
+    std::snprintf(Number, sizeof(Number), ", %s %.6g", Each.Name_.c_str(),
+                  Each.Value_);
+    Text += Number;
+  }
+  return Text;
 }
 
 } // namespace kumquatpitch
--- a/test/backend-stand-in.cc
+++ b/test/backend-stand-in.cc
@@ -71,8 +71,10 @@
 
   std::string runsAsJson() {
     const std::lock_guard<std::mutex> Lock(Mutex_);
-    return nlohmann::json{
-        {"runs", Runs_}, {"peak_in_progress", Peak_}, {"total", Total_}}
+    return nlohmann::json{{"runs", Runs_},
+                          {"in_progress", InProgress_},
+                          {"peak_in_progress", Peak_},
+                          {"total", Total_}}
         .dump();
   }
 
@@ -135,13 +137,15 @@
             Sink.write(Body.data(), Body.size());
             return false;
           });
-    if (Mode == "undelimited")
+    if (Mode == "undelimited") {
+      Response.set_header("Connection", "close");
       return Response.set_content_provider(
           "text/plain", [Body](size_t, httplib::DataSink &Sink) {
             Sink.write(Body.data(), Body.size());
             Sink.done();
             return true;
           });
+    }
     if (Mode == "chunked")
       return Response.set_chunked_content_provider(
           "text/plain", [Body](size_t, httplib::DataSink &Sink) {
--- a/test/front-process-test.cc
+++ b/test/front-process-test.cc
@@ -84,10 +84,6 @@
     }));
   }
   // The host frees the slot although the backend server never answers.
-  CHECK(waitUntil([&] {
-    return Fleet.operatorText(0, "/metrics")
-               .find("kumquatpitch_requests_in_progress 0") !=
-           std::string::npos;
-  }));
+  CHECK(waitUntil([&] { return Fleet.hostInProgress(0) == 0; }));
   setAllBackends(Fleet, "normal");
 }
--- a/test/stop-process-test.cc
+++ b/test/stop-process-test.cc
@@ -78,6 +78,7 @@
   CallerCrowd Crowd(Fleet, 6);
   CHECK(waitUntil([&] { return Crowd.answered() > 200; }));
   Fleet.host(0).signal(SIGTERM);
+  Fleet.publishHosts({0}, {});
   CHECK_EQUAL(0, Fleet.host(0).wait());
   const int AnsweredAtStop = Crowd.answered();
   CHECK(waitUntil([&] { return Crowd.answered() > AnsweredAtStop + 200; }));
--- a/test/test-fleet.cc
+++ b/test/test-fleet.cc
@@ -2,6 +2,7 @@
 
 #include "test-fleet.h"
 
+#include "kumquatpitch/host-status.h"
 #include "kumquatpitch/manifest.h"
 
 #include <array>
@@ -254,6 +255,20 @@
   return counterOf(BackendPorts_.at(Index), "in_progress");
 }
 
+int TestFleet::hostInProgress(int Index) {
+  return handleFailure(
+      [&]() -> Result<int> {
+        BOOST_LEAF_AUTO(Status,
+                        parseHostStatus(operatorText(Index, "/status")));
+        int Sum = 0;
+        for (const ServiceStatus &Each : Status.Services_)
+          for (const TargetStatus &Target : Each.Targets_)
+            Sum += static_cast<int>(Target.InProgress_);
+        return Sum;
+      },
+      [](const Failure &) { return -1; });
+}
+
 bool TestFleet::waitReady() {
   for (int Index = 0; Index < Plan_.Hosts_; ++Index) {
     if (!Hosts_[Index])
--- a/test/test-fleet.h
+++ b/test/test-fleet.h
@@ -78,6 +78,8 @@
   std::map<std::string, int> runs();
   int peakInProgress(int Index);
   int inProgress(int Index);
+  /// Attempts in progress by a host's own report; -1 when there is none.
+  int hostInProgress(int Index);
 
   int customerPort(int Index) const { return Ports_.at(Index).Customer_; }
   int operatorPort(int Index) const { return Ports_.at(Index).Operator_; }
