--- a/include/kumquatpitch/peer-message.h
+++ b/include/kumquatpitch/peer-message.h
@@ -65,6 +65,7 @@
 /// so that all can tell which readers run.
 struct ReaderBeat {
   HostId Reader_;
+  FailureDomain Domain_;
   std::uint64_t Count_ = 0;
 
   bool operator==(const ReaderBeat &) const = default;
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -156,7 +156,8 @@
 json toCbor(const DigestMessage &Body) {
   json Beats = json::array();
   for (const ReaderBeat &Beat : Body.Beats_)
-    Beats.push_back(json::array({Beat.Reader_.str(), Beat.Count_}));
+    Beats.push_back(
+        json::array({Beat.Reader_.str(), Beat.Domain_.str(), Beat.Count_}));
   json Contacts = json::array();
   for (const PeerContact &Each : Body.Contacts_)
     Contacts.push_back(
@@ -168,14 +169,17 @@
 }
 
 DigestMessage readDigest(CborReader &Reader) {
-  constexpr std::size_t BeatCount = 2;
+  constexpr std::size_t BeatCount = 3;
   constexpr std::size_t ContactCount = 4;
   DigestMessage Read;
   Read.Config_ = readConfig(Reader);
   Read.IsReply_ = Reader.boolean();
   Reader.arrays(MaxReaderBeats, BeatCount, [&](CborReader &Element) {
-    const HostId Id = Element.name<HostTag>();
-    Read.Beats_.push_back(ReaderBeat{Id, Element.number()});
+    ReaderBeat Beat;
+    Beat.Reader_ = Element.name<HostTag>();
+    Beat.Domain_ = Element.name<FailureDomainTag>();
+    Beat.Count_ = Element.number();
+    Read.Beats_.push_back(std::move(Beat));
   });
   Reader.arrays(MaxContacts, ContactCount, [&](CborReader &Element) {
     PeerContact Contact;
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -46,7 +46,7 @@
       HeartbeatMessage{3, true, {HostId("a"), HostId("b")}, {Version, {}}},
       DigestMessage{{Version, Version},
                     true,
-                    {{HostId("r"), 9}},
+                    {{HostId("r"), FailureDomain("yaba"), 9}},
                     {{HostId("n"), FailureDomain("yaba"), {"10.0.0.2", 7000}}}},
       PullMessage{PullKind::Hosts, Version, "", ""},
       PullMessage{PullKind::Document, {}, "service/ledger", Hash},
