Add the status and burn commands

Both commands take hosts by address or from a host list, ask at most 16 at once, and print text or JSON; burn also writes a self-contained page with plots. A host without a whole, valid report is named and makes the exit status 1; nothing stands in for its counts. The commands' text, JSON and page are pure functions, and the tests link the two command files, so that exit statuses are tested.

Ruled out: a linear scale for burn, on which the thresholds vanish when every request is bad; the scale is logarithmic up to the greatest possible rate. A host that answers at two addresses, or under another id than the list has, would be counted twice or as another: both are failures. The page was checked as text and its plot as XML, with two hosts of 4 h and 6 h 40 min and one that does not answer; it was not seen in a browser, since none is installed.

Seen to fail first: without the check for repeats (CountsAHostOnce), for the id (RefusesAnAnswerOfAnotherHost), with a fixed exit status (ExitStatusTellsWhetherAllAnswered), with joined gaps (PlotLeavesGapsEmpty), without escaping in page and terminal (NeutralizesForeignText), without the names of missing hosts (NamesHostsThatDoNotAnswer).

Conclusion: every figure shown is a sum over hosts that answered, with the span that they cover.

--- /dev/null
+++ b/include/kumquatpitch/burn-command.h
@@ -0,0 +1,14 @@
+// The command `burn`: how fast error budgets are used up.
+
+#ifndef KUMQUATPITCH_BURN_COMMAND_H
+#define KUMQUATPITCH_BURN_COMMAND_H
+
+namespace kumquatpitch {
+
+/// Runs the command; `Argv[0]` is its name. Gives the exit status: 0, the area
+/// of a failure's code, or 1 when a host did not answer.
+int runBurn(int Argc, char **Argv);
+
+} // namespace kumquatpitch
+
+#endif
--- /dev/null
+++ b/test/report-command-test.cc
@@ -0,0 +1,187 @@
+// The commands status and burn against endpoints on loopback.
+
+#include "kumquatpitch/burn-command.h"
+#include "kumquatpitch/burn-html.h"
+#include "kumquatpitch/operator-endpoint.h"
+#include "kumquatpitch/report-options.h"
+#include "kumquatpitch/status-command.h"
+#include "kumquatpitch/status-report.h"
+
+#include "sample-status.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using kumquatpitch::test::ms;
+using kumquatpitch::test::sampleBurn;
+using kumquatpitch::test::sampleStatus;
+
+namespace {
+
+class NamedView : public OperatorView {
+public:
+  explicit NamedView(const std::string &Host) : Host_(Host) {}
+  bool ready() override { return true; }
+  std::string metricsText() override { return ""; }
+  HostStatus status() override { return sampleStatus(Host_); }
+
+private:
+  std::string Host_;
+};
+
+/// A host's endpoint on a free port.
+struct Served {
+  explicit Served(const std::string &Host) : View_(Host), Endpoint_(View_) {
+    CHECK(!!Endpoint_.start({"127.0.0.1", 0}));
+  }
+  HostAddress address() const {
+    return {std::nullopt, {"127.0.0.1", Endpoint_.port()}};
+  }
+
+  NamedView View_;
+  OperatorEndpoint Endpoint_;
+};
+
+constexpr std::uint16_t ClosedPort = 1;
+const HostAddress Nobody{HostId("h-9"), {"127.0.0.1", ClosedPort}};
+
+int runCommand(int (*Command)(int, char **),
+               std::vector<std::string> Arguments) {
+  std::vector<char *> Pointers;
+  Pointers.reserve(Arguments.size());
+  for (std::string &Each : Arguments)
+    Pointers.push_back(Each.data());
+  return Command(static_cast<int>(Pointers.size()), Pointers.data());
+}
+
+Failure optionFailure(std::vector<std::string> Arguments, bool TakesHtml) {
+  std::vector<char *> Pointers;
+  Pointers.reserve(Arguments.size());
+  for (std::string &Each : Arguments)
+    Pointers.push_back(Each.data());
+  return handleFailure(
+      [&]() -> Result<Failure> {
+        Result<ReportOptions> Parsed = parseReportOptions(
+            static_cast<int>(Pointers.size()), Pointers.data(), TakesHtml);
+        if (!Parsed)
+          return Parsed.error();
+        return Failure{ResultCode::Ok, ""};
+      },
+      [](const Failure &Cause) { return Cause; });
+}
+
+} // namespace
+
+TEST_GROUP(ReportCommand){};
+
+// Guards against a host that is left out of sums without a word.
+TEST(ReportCommand, NamesHostsThatDoNotAnswer) {
+  const Served One("h-1");
+  const std::vector<FetchedHost> Fetched =
+      fetchStatuses({One.address(), Nobody}, ms(2'000));
+  CHECK(Fetched[0].Status_ == sampleStatus("h-1"));
+  CHECK(Fetched[1].Failure_.Code_ == ResultCode::HostUnreachable);
+  STRCMP_CONTAINS("no report from h-9 (127.0.0.1:1): 1004 host_unreachable",
+                  formatStatusText(Fetched).c_str());
+  const BurnReport Report = makeBurnReport(Fetched);
+  STRCMP_CONTAINS("h-9 (127.0.0.1:1)", formatBurnText(Report).c_str());
+  STRCMP_CONTAINS("\"host\":\"h-9 (127.0.0.1:1)\"",
+                  formatBurnJson(Report).c_str());
+  STRCMP_CONTAINS("h-9 (127.0.0.1:1)", formatBurnHtml(Report, "now").c_str());
+  CHECK(!allAnswered(Fetched));
+}
+
+// Guards against one host that is counted twice under two addresses.
+TEST(ReportCommand, CountsAHostOnce) {
+  const Served One("h-1");
+  const Served Again("h-1");
+  const std::vector<FetchedHost> Fetched =
+      fetchStatuses({One.address(), Again.address()}, ms(2'000));
+  CHECK(Fetched[0].Status_.has_value());
+  CHECK(!Fetched[1].Status_);
+}
+
+TEST(ReportCommand, RefusesAnAnswerOfAnotherHost) {
+  const Served One("h-1");
+  HostAddress Expected = One.address();
+  Expected.Id_ = HostId("h-2");
+  const std::vector<FetchedHost> Fetched = fetchStatuses({Expected}, ms(2'000));
+  STRCMP_EQUAL("another host answers there: h-1",
+               Fetched[0].Failure_.Message_.c_str());
+}
+
+TEST(ReportCommand, AsksMoreHostsThanItsThreads) {
+  const Served One("h-1");
+  const std::vector<HostAddress> Hosts(40, One.address());
+  // The endpoint's small backlog makes some connections wait for a repeat.
+  const std::vector<FetchedHost> Fetched = fetchStatuses(Hosts, ms(20'000));
+  CHECK(Fetched[0].Status_.has_value());
+  for (const FetchedHost &Each : Fetched)
+    CHECK(Each.Status_ || Each.Failure_.Code_ == ResultCode::UsageError);
+}
+
+TEST(ReportCommand, ExitStatusTellsWhetherAllAnswered) {
+  const Served One("h-1");
+  const std::string Good = "127.0.0.1:" + std::to_string(One.Endpoint_.port());
+  CHECK_EQUAL(0, runCommand(runStatus, {"status", "--json", "--host", Good}));
+  CHECK_EQUAL(1, runCommand(runStatus, {"status", "--json", "--host", Good,
+                                        "--host", "127.0.0.1:1"}));
+  CHECK_EQUAL(1,
+              runCommand(runBurn, {"burn", "--json", "--host", "127.0.0.1:1"}));
+  CHECK_EQUAL(0, runCommand(runBurn, {"burn", "--json", "--host", Good}));
+}
+
+TEST(ReportCommand, RefusesWrongOptions) {
+  CHECK(optionFailure({"status"}, false).Code_ == ResultCode::UsageError);
+  CHECK(optionFailure({"status", "--host", "127.0.0.1"}, false).Code_ ==
+        ResultCode::UsageError);
+  CHECK(optionFailure({"status", "--host", "a:70000"}, false).Code_ ==
+        ResultCode::UsageError);
+  CHECK(
+      optionFailure({"status", "--html", "f", "--host", "a:1"}, false).Code_ ==
+      ResultCode::UsageError);
+  CHECK(optionFailure({"burn", "--html", "f", "--host", "a:1"}, true).Code_ ==
+        ResultCode::Ok);
+  CHECK(optionFailure({"burn", "--list", "/no/such/file"}, true).Code_ ==
+        ResultCode::SettingsUnreadable);
+  CHECK(optionFailure({"burn", "--timeout-ms", "0", "--host", "a:1"}, true)
+            .Code_ == ResultCode::UsageError);
+}
+
+// Guards against a document's text that steers the operator's terminal or page.
+TEST(ReportCommand, NeutralizesForeignText) {
+  FetchedHost Host{Nobody, sampleStatus("h-1"), {ResultCode::Ok, ""}};
+  Host.Status_->Refusals_[0].Reason_ = "\x1b[2J<script>";
+  STRCMP_CONTAINS("?[2J<script>", formatStatusText({Host}).c_str());
+  STRCMP_EQUAL("&lt;a href=&quot;&amp;&#39;&quot;&gt;",
+               htmlText("<a href=\"&'\">").c_str());
+  const FetchedHost Bad{
+      Nobody, std::nullopt, {ResultCode::HostUnreachable, "<script>"}};
+  STRCMP_CONTAINS("&lt;script&gt;",
+                  formatBurnHtml(makeBurnReport({Bad}), "now").c_str());
+}
+
+// Guards against a curve that joins points over a span without requests.
+TEST(ReportCommand, PlotLeavesGapsEmpty) {
+  MergedBurn Merged{sampleBurn(), 1, ms(0), false};
+  Merged.Total_.Series_ = {{9, 1}, {8, 0}, {0, 0}, {7, 7}};
+  const std::string Plot = burnPlot(Merged);
+  const std::string Path = Plot.substr(Plot.find("<path"));
+  const std::string Drawn = Path.substr(0, Path.find("/>"));
+  std::size_t Moves = 0;
+  for (const char Each : Drawn)
+    Moves += Each == 'M' ? 1 : 0;
+  CHECK_EQUAL(2, Moves);
+  STRCMP_CONTAINS("good 7, bad 7", Plot.c_str());
+  STRCMP_CONTAINS("all hosts count from here on", Plot.c_str());
+}
+
+TEST(ReportCommand, FormatsSpans) {
+  STRCMP_EQUAL("3ms", spanText(ms(3)).c_str());
+  STRCMP_EQUAL("9s", spanText(ms(9'400)).c_str());
+  STRCMP_EQUAL("11m 40s", spanText(ms(700'000)).c_str());
+  STRCMP_EQUAL("2d", spanText(std::chrono::hours(48)).c_str());
+}
