Add pages for callers and operators, and example documents

Callers need to know what to do with each outcome, and operators what each failure looks like (design, sections 4, 5 and 9). errors.md lists all result codes; a test compares number, name and HTTP status with the program. The contracts and service entries of both customers are files that a test parses.

Ruled out: a table of codes written by the program at build time; the page holds advice that the code does not have.

Seen to fail first: with a wrong status, a wrong name and a missing row (TableOfCodesIsThatOfTheProgram); with a deadline below the queue wait and with another customer's service (ExamplesParse).

Conclusion: pages and program cannot differ in codes, and the examples stay acceptable to check.

--- /dev/null
+++ b/test/documents-test.cc
@@ -0,0 +1,104 @@
+// Pages and examples in docs/ against the code.
+
+#include "kumquatpitch/contract.h"
+#include "kumquatpitch/result-code.h"
+#include "kumquatpitch/service-entry.h"
+
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+namespace {
+
+std::string readPage(const std::string &Name) {
+  std::ifstream In(std::string(KUMQUATPITCH_SOURCE_DIR) + "/docs/" + Name);
+  CHECK(In.good());
+  return {std::istreambuf_iterator<char>(In), std::istreambuf_iterator<char>()};
+}
+
+/// Cells of a table's row, without the spaces around them.
+std::vector<std::string> cellsOf(const std::string &Line) {
+  std::vector<std::string> Cells;
+  std::istringstream Row(Line.substr(1));
+  for (std::string Cell; std::getline(Row, Cell, '|');)
+    Cells.push_back(Cell.size() < 2 ? "" : Cell.substr(1, Cell.size() - 2));
+  return Cells;
+}
+
+struct Expected {
+  const char *Service_;
+  std::size_t Targets_;
+  std::uint32_t Slots_;
+};
+
+void checkCustomer(const std::string &Customer,
+                   const std::vector<Expected> &Services) {
+  Result<Contract> Terms =
+      parseContract(readPage("examples-contract-" + Customer + ".json"));
+  CHECK(!!Terms);
+  CHECK_EQUAL(Services.size(), Terms->Services_.size());
+  for (const Expected &Each : Services) {
+    Result<ServiceEntry> Entry = parseServiceEntry(
+        readPage(std::string("examples-service-") + Each.Service_ + ".json"));
+    CHECK(!!Entry);
+    STRCMP_EQUAL(Each.Service_, Entry->Service_.str().c_str());
+    CHECK(Entry->Customer_ == Terms->Customer_);
+    CHECK(findTerms(*Terms, Entry->Service_) != nullptr);
+    CHECK_EQUAL(Each.Targets_, Entry->Targets_.size());
+    std::set<Endpoint> Addresses;
+    for (const Target &One : Entry->Targets_) {
+      CHECK_EQUAL(Each.Slots_, One.Slots_);
+      CHECK_EQUAL(400, One.Connections_);
+      CHECK(Addresses.insert(One.Address_).second);
+    }
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Documents){};
+
+// Guards against a table of codes that differs from the program.
+TEST(Documents, TableOfCodesIsThatOfTheProgram) {
+  std::istringstream Page(readPage("errors.md"));
+  std::vector<std::string> Rows;
+  for (std::string Line; std::getline(Page, Line);)
+    if (Line.size() > 2 && Line[0] == '|' && Line[2] >= '0' && Line[2] <= '9')
+      Rows.push_back(Line);
+  const std::vector<ResultCode> &Codes = allResultCodes();
+  CHECK_EQUAL(Codes.size(), Rows.size());
+  for (std::size_t Index = 0; Index < Codes.size(); ++Index) {
+    const std::vector<std::string> Cells = cellsOf(Rows[Index]);
+    CHECK_EQUAL(5, Cells.size());
+    STRCMP_EQUAL(std::to_string(static_cast<int>(Codes[Index])).c_str(),
+                 Cells[0].c_str());
+    STRCMP_EQUAL(resultCodeName(Codes[Index]), Cells[1].c_str());
+    STRCMP_EQUAL(std::to_string(httpStatus(Codes[Index])).c_str(),
+                 Cells[2].c_str());
+    const std::set<std::string> Outcomes{"-",
+                                         "ran",
+                                         "not-run",
+                                         "unknown",
+                                         "not-run, unknown",
+                                         "unknown, not-run"};
+    CHECK_EQUAL(1, Outcomes.count(Cells[3]));
+    CHECK(Cells[4].size() > 10);
+  }
+}
+
+// Guards against examples that `check` would refuse, or that name services
+// their customer does not have.
+TEST(Documents, ExamplesParse) {
+  checkCustomer(
+      "adebayo-okonkwo",
+      {{"rota-board", 6, 3}, {"nuptial-desk", 14, 3}, {"stem-room", 16, 3}});
+  checkCustomer("imigongo",
+                {{"proofdesk", 6, 2}, {"workshop", 14, 2}, {"ledger", 14, 2}});
+}
