--- a/src/main.cc
+++ b/src/main.cc
@@ -1,7 +1,9 @@
 // Entry of the binary: chooses the command.
 
+#include "kumquatpitch/burn-command.h"
 #include "kumquatpitch/command.h"
 #include "kumquatpitch/result-code.h"
+#include "kumquatpitch/status-command.h"
 
 #include <cstring>
 #include <iostream>
