Take the configuration from ConfigSync

HostCore drives ConfigSync: platform calls leave as actions, documents come from the platform or from peers. Replaces the poller. Readiness now needs usable slots. Leaving hosts keep their slots until the list drops them: before, a leaving host lost its group at once and refused callers who had kept its address.

--- a/include/kumquatpitch/assignment.h
+++ b/include/kumquatpitch/assignment.h
@@ -40,14 +40,15 @@
   bool contains(const HostId &Host) const;
 };
 
-/// Index of the live hosts of a list. Equal lists give equal groups on every
-/// host and every build.
+/// Index of the hosts of a list. Leaving hosts keep their place until the list
+/// drops them, since they still serve callers with their slots. Equal lists
+/// give equal groups on every host and every build.
 class Assignment {
 public:
   explicit Assignment(const HostList &List);
 
   /// Group of a service: in each failure domain of its region the
-  /// `HostsPerDomain_` live hosts with the highest hashes among those that
+  /// `HostsPerDomain_` hosts with the highest hashes among those that
   /// have a port for the service's customer. A failure domain with fewer such
   /// hosts gives all of them.
   Group group(const ServiceEntry &Entry) const;
--- a/include/kumquatpitch/config-sync.h
+++ b/include/kumquatpitch/config-sync.h
@@ -5,6 +5,7 @@
 #ifndef KUMQUATPITCH_CONFIG_SYNC_H
 #define KUMQUATPITCH_CONFIG_SYNC_H
 
+#include "kumquatpitch/core-action.h"
 #include "kumquatpitch/document-store.h"
 #include "kumquatpitch/peer-directory.h"
 #include "kumquatpitch/platform-reader.h"
@@ -39,16 +40,6 @@
   bool operator==(const PeerSend &) const = default;
 };
 
-/// A platform call to make; its reply goes to onPlatformReply().
-struct PlatformCall {
-  std::string Key_;
-  bool IsWatch_ = false;
-  std::uint64_t After_ = 0; ///< Of a watch.
-  Duration Wait_{};         ///< Of a watch.
-
-  bool operator==(const PlatformCall &) const = default;
-};
-
 /// What an event leads to.
 struct ConfigActions {
   std::vector<PeerSend> Sends_;
--- a/include/kumquatpitch/core-action.h
+++ b/include/kumquatpitch/core-action.h
@@ -77,7 +77,18 @@
   bool operator==(const CloseConnections &) const = default;
 };
 
-using CoreAction = std::variant<FlowStep, CancelAttempt, CloseConnections>;
+/// The platform is to be asked; the reply goes to HostCore::onPlatformReply.
+struct PlatformCall {
+  std::string Key_;
+  bool IsWatch_ = false;
+  std::uint64_t After_ = 0; ///< Of a watch.
+  Duration Wait_{};         ///< Of a watch.
+
+  bool operator==(const PlatformCall &) const = default;
+};
+
+using CoreAction =
+    std::variant<FlowStep, CancelAttempt, CloseConnections, PlatformCall>;
 using CoreActions = std::vector<CoreAction>;
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -6,7 +6,7 @@
 #define KUMQUATPITCH_HOST_CORE_H
 
 #include "kumquatpitch/address-answer.h"
-#include "kumquatpitch/catalog.h"
+#include "kumquatpitch/config-sync.h"
 #include "kumquatpitch/core-action.h"
 #include "kumquatpitch/host-fault-monitor.h"
 #include "kumquatpitch/host-list.h"
@@ -35,7 +35,9 @@
   Region Region_;
   FailureDomain Domain_;
   Incarnation Incarnation_ = 0;
-  std::vector<Endpoint> Seeds_; ///< Peers that the settings name.
+  Endpoint PeerAddress_;                ///< Where this host hears its peers.
+  std::vector<Endpoint> Seeds_;         ///< Peers that the settings name.
+  std::vector<CustomerName> Customers_; ///< Served by this host.
 
   bool operator==(const HostIdentity &) const = default;
 };
@@ -51,11 +53,8 @@
 public:
   HostCore(HostIdentity Self, HostServices Services, TimePoint Start);
 
-  /// Takes a configuration version; older ones are ignored.
-  void applyCatalog(std::shared_ptr<const Catalog> Value, TimePoint Now);
-
-  /// Takes the platform's host list; older versions are ignored.
-  void applyHosts(HostList List, TimePoint Now);
+  /// Takes the reply to a PlatformCall.
+  CoreActions onPlatformReply(const PlatformReply &Reply, TimePoint Now);
 
   /// Largest body of a request on a route of the contract, in bytes; 0 when
   /// there is no such route.
@@ -82,8 +81,9 @@
   Result<AddressAnswer> addresses(const CustomerName &Customer,
                                   const ServiceName &Service, TimePoint Now);
 
-  /// True when the host has a configuration and is not leaving.
-  bool isReady() const { return Catalog_ && !IsLeaving_; }
+  /// True when the host has the newest configuration that it heard of, may use
+  /// its slots and is not leaving.
+  bool isReady(TimePoint Now) const;
   bool isLeaving() const { return IsLeaving_; }
 
   /// Starts a planned stop.
@@ -100,7 +100,10 @@
 private:
   using ServiceMap = std::map<ServiceName, std::shared_ptr<ServiceRuntime>>;
 
+  CoreActions applyConfig(const ConfigActions &Changes, TimePoint Now);
+  void noteHostList(TimePoint Now);
   void renewServices(TimePoint Now);
+  void tickConfig(CoreActions &Actions, TimePoint Now);
   void renewPeers();
   void sendHeartbeats(TimePoint Now);
   void evaluateTargets(CoreActions &Actions, TimePoint Now);
@@ -119,13 +122,14 @@
   Metrics Metrics_;
   PeerExchange Exchange_;
   PeerView Peers_;
-  std::shared_ptr<const Catalog> Catalog_;
-  HostList Hosts_;
+  ConfigSync Sync_;
+  HostList Hosts_; ///< Of Sync_, as a document.
   ServiceMap Services_;
   std::set<HostId> GroupPeers_; ///< Other hosts of this host's groups.
   RequestFlow Flow_;
   HostFaultMonitor Faults_;
   TimePoint NextHeartbeat_;
+  TimePoint NextConfigTick_;
   TimePoint LastTick_;
   bool IsFaultLogged_ = false;
   bool IsLeaving_ = false;
--- a/include/kumquatpitch/host-daemon.h
+++ b/include/kumquatpitch/host-daemon.h
@@ -10,7 +10,6 @@
 #include "kumquatpitch/host-core.h"
 #include "kumquatpitch/http-front.h"
 #include "kumquatpitch/http-platform-reader.h"
-#include "kumquatpitch/manifest.h"
 #include "kumquatpitch/nng-transport.h"
 #include "kumquatpitch/operator-endpoint.h"
 #include "kumquatpitch/request-driver.h"
@@ -56,11 +55,6 @@
 
   Result<void> openPeerTransport();
   void tick(TimePoint Now);
-  void pollPlatform();
-  void onManifest(const PlatformReply &Reply);
-  void onPart(const PlatformReply &Reply);
-  void onHosts(const PlatformReply &Reply);
-  void applyWhenComplete();
   void beginStop();
 
   const Settings Settings_;
@@ -71,14 +65,11 @@
   PeerLink Link_;
   HostCore Core_;
   BackendClient Backends_;
+  std::unique_ptr<HttpPlatformReader> Platform_; ///< Ends before Driver_.
   RequestDriver Driver_;
   HttpFront Front_;
-  HttpPlatformReader Platform_;
   OperatorEndpoint Operators_;
   asio::signal_set Signals_;
-  std::mutex LoadMutex_; ///< Guards the two below.
-  Manifest Loading_;     ///< The version that parts are being read for.
-  std::map<std::string, std::string> Parts_; ///< Bodies by part name.
   TimePoint StopAt_ = TimePoint::max(); ///< When a planned stop is cut short.
 };
 
--- a/include/kumquatpitch/request-driver.h
+++ b/include/kumquatpitch/request-driver.h
@@ -8,6 +8,7 @@
 #include "kumquatpitch/backend-client.h"
 #include "kumquatpitch/host-core.h"
 #include "kumquatpitch/http-front.h"
+#include "kumquatpitch/platform-reader.h"
 #include "kumquatpitch/timer-service.h"
 
 #include <condition_variable>
@@ -20,8 +21,9 @@
 class RequestDriver : public CallerHandler {
 public:
   RequestDriver(HostCore &Core, BackendClient &Backends,
-                const TimerService &Timers)
-      : Core_(Core), Backends_(Backends), Timers_(Timers) {}
+                const TimerService &Timers, PlatformReader &Platform)
+      : Core_(Core), Backends_(Backends), Timers_(Timers), Platform_(Platform) {
+  }
 
   std::uint64_t maxBodyBytes(const CustomerName &Customer,
                              std::string_view Method,
@@ -40,6 +42,9 @@
   }
 
 private:
+  /// Something to do after the lock is released.
+  using Deferred = std::function<void()>;
+
   /// What a worker waits for, and how its attempt is ended.
   struct Mailbox {
     std::condition_variable Arrived_;
@@ -48,12 +53,6 @@
     std::shared_ptr<AttemptCanceller> Canceller_;
   };
 
-  /// An attempt to end after the lock is released.
-  struct Cancellation {
-    std::shared_ptr<AttemptCanceller> Canceller_;
-    AttemptEnd Reason_ = AttemptEnd::Cancelled;
-  };
-
   HttpAnswer handleAddresses(const CustomerName &Customer,
                              const HttpRequest &Request);
   HttpAnswer handleRequest(const CallerRequest &Caller,
@@ -62,11 +61,13 @@
   AttemptResult runAttempt(FlowId Flow, Mailbox &Box, const AttemptOrder &Order,
                            const HttpRequest &Request);
   NextStep waitForStep(Mailbox &Box);
-  std::vector<Cancellation> carryOut(const CoreActions &Actions);
+  std::vector<Deferred> carryOut(const CoreActions &Actions);
+  void callPlatform(const PlatformCall &Call);
 
   HostCore &Core_;
   BackendClient &Backends_;
   const TimerService &Timers_;
+  PlatformReader &Platform_;
   std::mutex Mutex_; ///< Guards Core_ and Mailboxes_ with their contents.
   std::map<FlowId, Mailbox> Mailboxes_;
 };
--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -47,10 +47,7 @@
   bool isAssigned() const { return IsAssigned_; }
 
   /// True when this host has slots that it may use now.
-  bool hasSlots() const { return !Usable_.empty(); }
-
-  /// Targets at which this host has slots.
-  std::size_t targetsWithSlots() const { return Usable_.size(); }
+  bool hasSlots() const;
 
   /// A target that may get an attempt now, or none.
   std::optional<TargetId> pick(const std::vector<TargetId> &Excluded,
--- a/src/assignment.cc
+++ b/src/assignment.cc
@@ -100,8 +100,6 @@
 
 Assignment::Assignment(const HostList &List) {
   for (const HostRecord &Host : List.Hosts_) {
-    if (Host.State_ != HostState::Live)
-      continue;
     const IdHash Hash = idHash(Host.Id_);
     for (const std::pair<const CustomerName, std::uint16_t> &Port :
          Host.CustomerPorts_) {
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -5,6 +5,8 @@
 #include "kumquatpitch/assignment.h"
 #include "kumquatpitch/metrics-format.h"
 
+#include <algorithm>
+
 namespace kumquatpitch {
 
 static std::string describeFault(const HostFault &Fault) {
@@ -20,42 +22,56 @@
       Log_(Services.Log_),
       Exchange_(Self_.Id_, Self_.Incarnation_, Self_.Seeds_,
                 Services.Transport_, Metrics_),
-      Peers_(Self_.Id_), Flow_(Self_.Id_, Self_.Incarnation_, Start),
-      NextHeartbeat_(Start), LastTick_(Start), NotLiveSince_(Start) {}
+      Peers_(Self_.Id_),
+      Sync_(ConfigSyncOptions{PeerContact{Self_.Id_, Self_.Domain_,
+                                          Self_.PeerAddress_},
+                              Self_.Customers_, Self_.Seeds_},
+            Random_, Start),
+      Flow_(Self_.Id_, Self_.Incarnation_, Start), NextHeartbeat_(Start),
+      NextConfigTick_(Start), LastTick_(Start), NotLiveSince_(Start) {}
 
-void HostCore::applyCatalog(std::shared_ptr<const Catalog> Value,
-                            TimePoint Now) {
-  if (Catalog_ && Value->Version_ <= Catalog_->Version_)
-    return;
-  Catalog_ = std::move(Value);
-  Log_.log(LogLevel::Info, "config",
-           "version " + std::to_string(Catalog_->Version_) + " is in force");
-  renewServices(Now);
+CoreActions HostCore::onPlatformReply(const PlatformReply &Reply,
+                                      TimePoint Now) {
+  return applyConfig(Sync_.onPlatformReply(Reply, Now), Now);
 }
 
-void HostCore::applyHosts(HostList List, TimePoint Now) {
-  if (List.Version_ <= Hosts_.Version_)
-    return;
-  Hosts_ = std::move(List);
+CoreActions HostCore::applyConfig(const ConfigActions &Changes, TimePoint Now) {
+  for (const std::string &Note : Changes.Notes_)
+    Log_.log(LogLevel::Info, "config", Note);
+  for (const PeerSend &Each : Changes.Sends_)
+    Exchange_.send(Each.To_, Each.ToId_, Each.Body_);
+  if (Changes.HostsChanged_)
+    noteHostList(Now);
+  if (Changes.HostsChanged_ || Changes.CatalogChanged_)
+    renewServices(Now);
+  return CoreActions(Changes.Calls_.begin(), Changes.Calls_.end());
+}
+
+void HostCore::noteHostList(TimePoint Now) {
+  Hosts_ = Sync_.hostList();
   Exchange_.setHosts(Hosts_);
   const HostRecord *Own = findHost(Hosts_, Self_.Id_);
   if (Own && Own->State_ == HostState::Live)
     NotLiveSince_.reset();
   else if (!NotLiveSince_)
     NotLiveSince_ = Now;
-  Log_.log(LogLevel::Info, "hosts",
-           "list " + std::to_string(Hosts_.Version_) + " names " +
-               std::to_string(Hosts_.Hosts_.size()) + " hosts");
-  renewServices(Now);
+}
+
+bool HostCore::isReady(TimePoint Now) const {
+  if (IsLeaving_ || !Sync_.isReady(Now) || Sync_.catalog()->Version_ == 0)
+    return false;
+  return std::none_of(Services_.begin(), Services_.end(),
+                      [](const ServiceMap::value_type &Each) {
+                        return Each.second->isAssigned() &&
+                               !Each.second->hasSlots();
+                      });
 }
 
 void HostCore::renewServices(TimePoint Now) {
-  if (!Catalog_)
-    return;
   const Assignment Assigned(Hosts_);
   ServiceMap Renewed;
   for (const std::pair<const CustomerName, CustomerConfig> &Each :
-       Catalog_->Customers_)
+       Sync_.catalog()->Customers_)
     for (const ServiceTerms &Terms : Each.second.Contract_->Services_) {
       const std::shared_ptr<const ServiceEntry> Entry =
           Each.second.Services_.at(Terms.Service_);
@@ -92,8 +108,7 @@
 std::uint64_t HostCore::maxBodyBytes(const CustomerName &Customer,
                                      std::string_view Method,
                                      std::string_view Target) const {
-  const Contract *Terms =
-      Catalog_ ? findContract(*Catalog_, Customer) : nullptr;
+  const Contract *Terms = findContract(*Sync_.catalog(), Customer);
   if (!Terms)
     return 0;
   const RouteMatch Match = findRoute(*Terms, Method, Target);
@@ -105,9 +120,9 @@
 }
 
 FlowStep HostCore::admit(const CallerRequest &Request, TimePoint Now) {
-  if (!Catalog_)
+  if (!Sync_.isReady(Now))
     return refuseEarly(ResultCode::NotReady, "no configuration yet");
-  const Contract *Terms = findContract(*Catalog_, Request.Customer_);
+  const Contract *Terms = findContract(*Sync_.catalog(), Request.Customer_);
   const RouteMatch Match =
       Terms ? findRoute(*Terms, Request.Method_, Request.Target_)
             : RouteMatch();
@@ -140,9 +155,23 @@
   }
   CoreActions Actions = Flow_.tick(Now);
   evaluateTargets(Actions, Now);
+  tickConfig(Actions, Now);
   return Actions;
 }
 
+void HostCore::tickConfig(CoreActions &Actions, TimePoint Now) {
+  if (Now < NextConfigTick_)
+    return;
+  NextConfigTick_ = Now + ConfigTickPeriod;
+  std::set<HostId> OneWay;
+  for (const HostId &Peer : GroupPeers_)
+    if (Peers_.heard(Peer, Now) && !Peers_.hearsUs(Peer, Now))
+      OneWay.insert(Peer);
+  Sync_.setOneWayPeers(std::move(OneWay));
+  const CoreActions More = applyConfig(Sync_.tick(Now), Now);
+  Actions.insert(Actions.end(), More.begin(), More.end());
+}
+
 void HostCore::evaluateTargets(CoreActions &Actions, TimePoint Now) {
   Faults_.timerFired(LastTick_ + TickPeriod, Now);
   LastTick_ = Now;
@@ -167,7 +196,7 @@
 
 void HostCore::sendHeartbeats(TimePoint Now) {
   const HeartbeatMessage Beat = Peers_.nextHeartbeat(
-      Flow_.registry().issueEpoch(Now), IsLeaving_, ConfigState(), Now);
+      Flow_.registry().issueEpoch(Now), IsLeaving_, Sync_.state(), Now);
   for (const HostId &Peer : GroupPeers_)
     Exchange_.send(Peer, Beat);
 }
@@ -189,23 +218,34 @@
 CoreActions HostCore::dispatch(const PeerMessage &Message, TimePoint Now) {
   if (const HeartbeatMessage *Beat =
           std::get_if<HeartbeatMessage>(&Message.Body_)) {
-    Peers_.onHeartbeat(Message.From_, Message.Incarnation_, Message.Sequence_,
-                       *Beat, Now);
+    const HeartbeatResult Taken = Peers_.onHeartbeat(
+        Message.From_, Message.Incarnation_, Message.Sequence_, *Beat, Now);
+    const bool IsNew = Taken == HeartbeatResult::Accepted ||
+                       Taken == HeartbeatResult::NewIncarnation;
+    if (IsNew)
+      return applyConfig(Sync_.onHeartbeat(Message.From_, Beat->Config_, Now),
+                         Now);
   }
+  if (const DigestMessage *Digest = std::get_if<DigestMessage>(&Message.Body_))
+    return applyConfig(Sync_.onDigest(Message.From_, *Digest, Now), Now);
+  if (const PullMessage *Pull = std::get_if<PullMessage>(&Message.Body_))
+    return applyConfig(Sync_.onPull(Message.From_, *Pull, Now), Now);
+  if (const PartMessage *Part = std::get_if<PartMessage>(&Message.Body_))
+    return applyConfig(Sync_.onPeerPart(Message.From_, *Part, Now), Now);
   return {};
 }
 
 Result<AddressAnswer> HostCore::addresses(const CustomerName &Customer,
                                           const ServiceName &Service,
                                           TimePoint Now) {
-  if (!Catalog_)
+  if (!Sync_.isReady(Now))
     return fail(ResultCode::NotReady, "no configuration yet");
-  const Contract *Terms = findContract(*Catalog_, Customer);
+  const Contract *Terms = findContract(*Sync_.catalog(), Customer);
   if (!Terms || !findTerms(*Terms, Service))
     return fail(ResultCode::ServiceUnknown,
                 "the contract names no such service");
   const ServiceRuntime &Served = *Services_.at(Service);
-  AddressAnswer Answer{Service, Catalog_->Version_, {}};
+  AddressAnswer Answer{Service, Sync_.catalog()->Version_, {}};
   for (const GroupMember &Member :
        addressOrder(Served.config().Group_, Served.plan().weights(), Random_))
     if (!(IsLeaving_ && Member.Host_ == Self_.Id_))
@@ -240,7 +280,11 @@
 }
 
 bool HostCore::isKnownLeaving(const HostId &Host) const {
-  return Host == Self_.Id_ ? IsLeaving_ : Peers_.isLeaving(Host);
+  if (Host == Self_.Id_)
+    return IsLeaving_;
+  const HostRecord *Listed = findHost(Hosts_, Host);
+  return Peers_.isLeaving(Host) ||
+         (Listed && Listed->State_ == HostState::Leaving);
 }
 
 HostStatus HostCore::status(TimePoint Now) const {
@@ -249,8 +293,8 @@
   Status.Incarnation_ = Self_.Incarnation_;
   Status.Region_ = Self_.Region_;
   Status.Domain_ = Self_.Domain_;
-  Status.ConfigVersion_ = Catalog_ ? Catalog_->Version_ : 0;
-  Status.Ready_ = isReady();
+  Status.ConfigVersion_ = Sync_.catalog()->Version_;
+  Status.Ready_ = isReady(Now);
   Status.Leaving_ = IsLeaving_;
   Status.UpFor_ = Now - Start_;
   for (const ServiceMap::value_type &Each : Services_) {
@@ -259,6 +303,10 @@
     Status.Services_.push_back(Each.second->status(Now));
     Status.Burn_.push_back(Each.second->burn().snapshot(Now));
   }
+  for (const Refusal &Each : Sync_.refusals())
+    Status.Refusals_.push_back(RefusalStatus{Each.Document_,
+                                             Each.ManifestVersion_, Each.Code_,
+                                             Each.Message_, Duration()});
   for (const HostId &Peer : GroupPeers_)
     Status.Peers_.push_back(peerStatus(Peer, Now));
   return Status;
--- a/src/host-daemon.cc
+++ b/src/host-daemon.cc
@@ -19,8 +19,17 @@
 }
 
 HostIdentity makeIdentity(const Settings &Given) {
-  return HostIdentity{Given.Id_, Given.Region_, Given.Domain_, drawSeed() | 1,
-                      Given.Seeds_};
+  HostIdentity Self{Given.Id_,
+                    Given.Region_,
+                    Given.Domain_,
+                    drawSeed() | 1,
+                    Endpoint{Given.Address_, Given.PeerPort_},
+                    Given.Seeds_,
+                    {}};
+  for (const std::pair<const CustomerName, std::uint16_t> &Each :
+       Given.CustomerPorts_)
+    Self.Customers_.push_back(Each.first);
+  return Self;
 }
 
 FrontLimits makeLimits(const Settings &Given) {
@@ -40,9 +49,10 @@
       Core_(makeIdentity(Settings_), HostServices{Random_, Log_, Link_},
             Timers_.now()),
       Backends_(Timers_, MaxKeptConnections),
-      Driver_(Core_, Backends_, Timers_),
-      Front_(Context_, Driver_, makeLimits(Settings_)),
-      Platform_(Settings_.Platform_, PlatformTimeout), Operators_(*this),
+      Platform_(std::make_unique<HttpPlatformReader>(Settings_.Platform_,
+                                                     PlatformTimeout)),
+      Driver_(Core_, Backends_, Timers_, *Platform_),
+      Front_(Context_, Driver_, makeLimits(Settings_)), Operators_(*this),
       Signals_(Context_) {}
 
 HostDaemon::~HostDaemon() = default;
@@ -62,10 +72,9 @@
       beginStop();
   });
   Timers_.subscribe(TickPeriod, [this](TimePoint Now) { tick(Now); });
-  Timers_.subscribe(std::chrono::milliseconds(200),
-                    [this](TimePoint) { pollPlatform(); });
   Context_.run();
   Front_.join();
+  Platform_.reset();
   Link_.close();
   Operators_.stop();
   Log_.log(LogLevel::Info, "stop", "done");
@@ -89,7 +98,8 @@
 }
 
 bool HostDaemon::ready() {
-  return Driver_.read([](HostCore &Core, TimePoint) { return Core.isReady(); });
+  return Driver_.read(
+      [](HostCore &Core, TimePoint Now) { return Core.isReady(Now); });
 }
 
 std::string HostDaemon::metricsText() {
@@ -123,87 +133,4 @@
   });
 }
 
-void HostDaemon::pollPlatform() {
-  Platform_.read("manifest",
-                 [this](const PlatformReply &Reply) { onManifest(Reply); });
-  Platform_.read("hosts",
-                 [this](const PlatformReply &Reply) { onHosts(Reply); });
-}
-
-void HostDaemon::onManifest(const PlatformReply &Reply) {
-  if (Reply.Status_ != PlatformStatus::Value)
-    return;
-  handleFailure(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(Read, parseManifest(Reply.Body_));
-        const std::lock_guard<std::mutex> Lock(LoadMutex_);
-        if (Read.Version_ <= Loading_.Version_)
-          return {};
-        Loading_ = Read;
-        Parts_.clear();
-        for (const ManifestPart &Part : Read.Parts_)
-          Platform_.read("parts/" + Part.Name_ + "/" + Part.Hash_,
-                         [this](const PlatformReply &Got) { onPart(Got); });
-        return {};
-      },
-      [this](const Failure &Cause) {
-        Log_.log(LogLevel::Error, "config", "manifest: " + Cause.Message_);
-      });
-}
-
-void HostDaemon::onPart(const PlatformReply &Reply) {
-  if (Reply.Status_ != PlatformStatus::Value)
-    return;
-  const std::lock_guard<std::mutex> Lock(LoadMutex_);
-  for (const ManifestPart &Part : Loading_.Parts_)
-    if (Part.Hash_ == contentHash(Reply.Body_))
-      Parts_[Part.Name_] = Reply.Body_;
-  if (Parts_.size() == Loading_.Parts_.size())
-    applyWhenComplete();
-}
-
-void HostDaemon::applyWhenComplete() {
-  handleFailure(
-      [&]() -> Result<void> {
-        std::vector<std::shared_ptr<const Contract>> Contracts;
-        std::vector<std::shared_ptr<const ServiceEntry>> Entries;
-        for (const std::pair<const std::string, std::string> &Part : Parts_) {
-          if (Part.first.rfind("contract/", 0) == 0) {
-            BOOST_LEAF_AUTO(Terms, parseContractPart(Part.first, Part.second));
-            Contracts.push_back(Terms);
-          } else {
-            BOOST_LEAF_AUTO(Entry, parseServicePart(Part.first, Part.second));
-            Entries.push_back(Entry);
-          }
-        }
-        BOOST_LEAF_AUTO(Built,
-                        buildCatalog(Loading_.Version_, Contracts, Entries));
-        Driver_.drive([&](HostCore &Core, TimePoint Now) {
-          Core.applyCatalog(Built, Now);
-          return CoreActions();
-        });
-        return {};
-      },
-      [this](const Failure &Cause) {
-        Log_.log(LogLevel::Error, "config", Cause.Message_);
-      });
-}
-
-void HostDaemon::onHosts(const PlatformReply &Reply) {
-  if (Reply.Status_ != PlatformStatus::Value)
-    return;
-  handleFailure(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(Read, parseHostList(Reply.Body_));
-        Driver_.drive([&](HostCore &Core, TimePoint Now) {
-          Core.applyHosts(Read, Now);
-          return CoreActions();
-        });
-        return {};
-      },
-      [this](const Failure &Cause) {
-        Log_.log(LogLevel::Error, "config", "hosts: " + Cause.Message_);
-      });
-}
-
 } // namespace kumquatpitch
--- a/src/request-driver.cc
+++ b/src/request-driver.cc
@@ -203,19 +203,31 @@
 
 void RequestDriver::drive(
     const std::function<CoreActions(HostCore &, TimePoint)> &Use) {
-  std::vector<Cancellation> Ended;
+  std::vector<Deferred> Later;
   {
     const std::lock_guard<std::mutex> Lock(Mutex_);
-    Ended = carryOut(Use(Core_, Timers_.now()));
+    Later = carryOut(Use(Core_, Timers_.now()));
   }
-  for (const Cancellation &Each : Ended)
-    Each.Canceller_->cancel(Each.Reason_);
+  for (const Deferred &Each : Later)
+    Each();
 }
 
-/// Carries out actions; Mutex_ is held. Gives the attempts to end afterwards.
-std::vector<RequestDriver::Cancellation>
+void RequestDriver::callPlatform(const PlatformCall &Call) {
+  const auto OnReply = [this](const PlatformReply &Reply) {
+    drive([&](HostCore &Core, TimePoint Now) {
+      return Core.onPlatformReply(Reply, Now);
+    });
+  };
+  if (Call.IsWatch_)
+    Platform_.watch(Call.Key_, Call.After_, Call.Wait_, OnReply);
+  else
+    Platform_.read(Call.Key_, OnReply);
+}
+
+/// Carries out actions; Mutex_ is held. Gives what is to be done without it.
+std::vector<RequestDriver::Deferred>
 RequestDriver::carryOut(const CoreActions &Actions) {
-  std::vector<Cancellation> Ended;
+  std::vector<Deferred> Later;
   for (const CoreAction &Action : Actions) {
     if (const FlowStep *Next = std::get_if<FlowStep>(&Action)) {
       const std::map<FlowId, Mailbox>::iterator At =
@@ -227,13 +239,18 @@
     } else if (const CancelAttempt *End = std::get_if<CancelAttempt>(&Action)) {
       for (std::pair<const FlowId, Mailbox> &Each : Mailboxes_)
         if (Each.second.Attempt_ == End->Attempt_ && Each.second.Canceller_)
-          Ended.push_back(Cancellation{Each.second.Canceller_, End->Reason_});
+          Later.push_back(
+              [Canceller = Each.second.Canceller_, Reason = End->Reason_] {
+                Canceller->cancel(Reason);
+              });
     } else if (const CloseConnections *Close =
                    std::get_if<CloseConnections>(&Action)) {
       Backends_.closeKept(Close->Address_);
+    } else if (const PlatformCall *Call = std::get_if<PlatformCall>(&Action)) {
+      Later.push_back([this, Asked = *Call] { callPlatform(Asked); });
     }
   }
-  return Ended;
+  return Later;
 }
 
 } // namespace kumquatpitch
--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -2,6 +2,7 @@
 
 #include "kumquatpitch/service-runtime.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace kumquatpitch {
@@ -71,6 +72,13 @@
   Health_.setEntry(entry(), Counts, Now);
 }
 
+bool ServiceRuntime::hasSlots() const {
+  return std::any_of(Usable_.begin(), Usable_.end(),
+                     [](const SlotShares::value_type &Each) {
+                       return Each.second.Slots_ > 0;
+                     });
+}
+
 std::optional<TargetId>
 ServiceRuntime::pick(const std::vector<TargetId> &Excluded, TimePoint Now) {
   return Picker_.pick(Excluded, Availability(Health_), Now);
--- a/test/test-fleet.cc
+++ b/test/test-fleet.cc
@@ -274,10 +274,9 @@
     if (!Hosts_[Index])
       continue;
     const bool IsReady = waitUntil([&] {
-      // A new host first waits until its slots are free of earlier owners.
-      const CallerAnswer Got =
-          call(Ports_[Index].Customer_, "GET", "/proofs/ready");
-      return Got.Status_ == 200;
+      const httplib::Result Got =
+          makeClient(Ports_[Index].Operator_).Get("/ready");
+      return Got && Got->status == 200;
     });
     if (!IsReady)
       return false;
