--- a/bench/bench-report.h
+++ b/bench/bench-report.h
@@ -25,6 +25,10 @@
     check(Name, Value, "<=", Bound, Value <= Bound);
   }
 
+  void below(const char *Name, double Value, double Bound) {
+    check(Name, Value, "<", Bound, Value < Bound);
+  }
+
   void atLeast(const char *Name, double Value, double Bound) {
     check(Name, Value, ">=", Bound, Value >= Bound);
   }
@@ -35,7 +39,7 @@
 private:
   void check(const char *Name, double Value, const char *Relation, double Bound,
              bool Holds) {
-    std::printf("%s %s: %.4g %s %.4g\n", Holds ? "ok    " : "BROKEN", Name,
+    std::printf("%s %s: %.6g %s %.4g\n", Holds ? "ok    " : "BROKEN", Name,
                 Value, Relation, Bound);
     Broken_ = Broken_ || !Holds;
   }
