Test that changing groups never oversubscribe a target

Cause: the division was tested for one plan at a time, while the fault to guard against arises between hosts that learn of a change at different times. The test changes the group of 5 hosts at random over 200 seeds; hosts learn of each change within the settle time and attempts run until the deadline. At most 7 of 7 slots were in use. Not covered: a host that learns of a change later than the settle time, such as one cut off from all peers; the wait cannot protect against it.

--- a/test/slot-plan-test.cc
+++ b/test/slot-plan-test.cc
@@ -113,3 +113,80 @@
     Own.setPlan({{Id, {2, 4}}}, ms(2000), atMs(At));
   CHECK_EQUAL(2, Own.usable(atMs(7000))[Id].Slots_);
 }
+
+// Each host's view of a group that changes at random times. A host learns of a
+// change within the settle time, and attempts run until the longest deadline.
+struct ChangingGroup {
+  static constexpr int Hosts = 5;
+  static constexpr int StepMs = 250;
+  static constexpr int DeadlineSteps = 8;
+  static constexpr int SettleSteps = 20;
+
+  explicit ChangingGroup(std::uint64_t Seed) : Random_(Seed) {
+    for (int Each = 0; Each < Hosts; ++Each)
+      Members_.push_back({HostId("host-" + std::to_string(Each)), {}, {}});
+  }
+
+  /// Changes the group, and lets hosts learn of earlier changes in order.
+  void step(int Now) {
+    if (Now % 16 == 0 && Random_.below(2) == 0) {
+      Group Next;
+      for (const GroupMember &Each : Members_)
+        if (Random_.below(2) == 0)
+          Next.Members_.push_back(Each);
+      Groups_.push_back(Next);
+      for (std::vector<int> &Times : LearnAt_)
+        Times.push_back(std::max(Times.empty() ? 0 : Times.back(),
+                                 Now + int(Random_.below(SettleSteps + 1))));
+    }
+    for (int Host = 0; Host < Hosts; ++Host)
+      learn(Host, Now);
+  }
+
+  /// Most attempts at the target that all hosts may have in progress.
+  std::uint32_t mostInProgress() const {
+    std::uint32_t Sum = 0;
+    for (const std::vector<std::uint32_t> &Each : History_) {
+      const std::size_t Kept =
+          std::min<std::size_t>(Each.size(), DeadlineSteps);
+      Sum += *std::max_element(Each.end() - std::ptrdiff_t(Kept), Each.end());
+    }
+    return Sum;
+  }
+
+  void learn(int Host, int Now) {
+    const Duration Deadline = ms(std::int64_t{DeadlineSteps} * StepMs);
+    const TimePoint At = atMs(std::int64_t{Now} * StepMs);
+    while (Known_[Host] < Groups_.size() &&
+           LearnAt_[Host][Known_[Host]] <= Now) {
+      const SlotPlan Plan = slotPlan(Entry_, Groups_[Known_[Host]++]);
+      Own_[Host].setPlan(Plan.ownShares(Members_[Host].Host_), Deadline, At);
+    }
+    History_[Host].push_back(
+        Own_[Host].usable(At)[Entry_.Targets_[0].Id_].Slots_);
+  }
+
+  SeededRandom Random_;
+  ServiceEntry Entry_ = makeEntry("ledger", 1, 7);
+  std::vector<GroupMember> Members_;
+  std::vector<Group> Groups_;
+  std::vector<std::vector<int>> LearnAt_ = std::vector<std::vector<int>>(Hosts);
+  std::vector<std::size_t> Known_ = std::vector<std::size_t>(Hosts, 0);
+  std::vector<OwnSlots> Own_ = std::vector<OwnSlots>(Hosts);
+  std::vector<std::vector<std::uint32_t>> History_ =
+      std::vector<std::vector<std::uint32_t>>(Hosts);
+};
+
+// Guards against a target that gets more attempts than it has slots while the
+// group changes and hosts learn of it at different times.
+TEST(SlotPlan, ChangesNeverOversubscribe) {
+  std::uint32_t Most = 0;
+  for (std::uint64_t Seed = 0; Seed < 200; ++Seed) {
+    ChangingGroup Fleet(Seed);
+    for (int Now = 0; Now < 1000; ++Now) {
+      Fleet.step(Now);
+      Most = std::max(Most, Fleet.mostInProgress());
+    }
+  }
+  CHECK_EQUAL(7, Most);
+}
