Prove the bounds of reading many hosts' reports

The number of hosts asked at once and the time limit of a host that sends a byte now and then had no proof. The limit does not cover a response head that trickles; the library gives no place to count there.

--- a/test/report-command-test.cc
+++ b/test/report-command-test.cc
@@ -9,7 +9,12 @@
 
 #include "sample-status.h"
 
+#include <algorithm>
+#include <asio.hpp>
+#include <atomic>
+#include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -77,6 +82,74 @@
 
 TEST_GROUP(ReportCommand){};
 
+// Guards against a host list of thousands that makes as many threads.
+TEST(ReportCommand, AsksSixteenHostsAtOnce) {
+  std::atomic<int> Asked = 0;
+  std::atomic<int> Most = 0;
+  class SlowView : public NamedView {
+  public:
+    SlowView(const std::string &Host, std::atomic<int> &AskedNow,
+             std::atomic<int> &MostAtOnce)
+        : NamedView(Host), Asked_(AskedNow), Most_(MostAtOnce) {}
+    HostStatus status() override {
+      const int Now = ++Asked_;
+      int Seen = Most_;
+      while (Seen < Now && !Most_.compare_exchange_weak(Seen, Now))
+        ;
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      --Asked_;
+      return NamedView::status();
+    }
+
+  private:
+    std::atomic<int> &Asked_;
+    std::atomic<int> &Most_;
+  };
+  std::vector<std::unique_ptr<SlowView>> Views;
+  std::vector<std::unique_ptr<OperatorEndpoint>> Endpoints;
+  std::vector<HostAddress> Hosts;
+  for (int Index = 0; Index < 24; ++Index) {
+    Views.push_back(
+        std::make_unique<SlowView>("h-" + std::to_string(Index), Asked, Most));
+    Endpoints.push_back(std::make_unique<OperatorEndpoint>(*Views.back()));
+    CHECK(!!Endpoints.back()->start({"127.0.0.1", 0}));
+    Hosts.push_back({std::nullopt, {"127.0.0.1", Endpoints.back()->port()}});
+  }
+  CHECK(allAnswered(fetchStatuses(Hosts, ms(5'000))));
+  CHECK(Most > 1);
+  CHECK(Most <= 16);
+}
+
+// Guards against a host that sends a byte now and then and holds up the report
+// of all others: the library's time limit starts anew with each byte.
+TEST(ReportCommand, EndsAtTheTimeLimitWhileBytesTrickle) {
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Acceptor(
+      Context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  std::thread Trickle([&] {
+    asio::ip::tcp::socket Caller = Acceptor.accept();
+    std::error_code Error;
+    asio::write(Caller,
+                asio::buffer(std::string(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")),
+                Error);
+    for (int Index = 0; Index < 200 && !Error; ++Index) {
+      asio::write(Caller, asio::buffer(" ", 1), Error);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  });
+  const HostAddress Slow{std::nullopt,
+                         {"127.0.0.1", Acceptor.local_endpoint().port()}};
+  const std::chrono::steady_clock::time_point Start =
+      std::chrono::steady_clock::now();
+  const std::vector<FetchedHost> Fetched = fetchStatuses({Slow}, ms(300));
+  const std::chrono::steady_clock::duration Took =
+      std::chrono::steady_clock::now() - Start;
+  Trickle.join();
+  CHECK(Fetched[0].Failure_.Code_ == ResultCode::HostUnreachable);
+  CHECK(Took < std::chrono::seconds(2));
+}
+
 // Guards against a host that is left out of sums without a word.
 TEST(ReportCommand, NamesHostsThatDoNotAnswer) {
   const Served One("h-1");
