Queue, retry and share quota on the way of a request

The request flow now takes a permit of the contract's quota, waits in the admission queue when no slot is free, and retries within the budget. Hosts of a group exchange quota, evidence about targets and drain markers.

--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -107,6 +107,14 @@
   void renewPeers();
   void sendHeartbeats(TimePoint Now);
   void evaluateTargets(CoreActions &Actions, TimePoint Now);
+  void askForQuota(ServiceRuntime &Service, TimePoint Now);
+  void reportTargets(TimePoint Now);
+  void tellGroup(const ServiceRuntime &Service, const PeerBody &Body);
+  void tellOfDraining(FlowId Flow);
+  CoreActions onReport(const HostId &From, const ReportMessage &Report,
+                       TimePoint Now);
+  CoreActions onQuotaAsk(const HostId &From, const QuotaAskMessage &Message,
+                         TimePoint Now);
   PeerStatus peerStatus(const HostId &Peer, TimePoint Now) const;
   FlowStep refuseEarly(ResultCode Code, const std::string &Message);
   CoreActions dispatch(const PeerMessage &Message, TimePoint Now);
--- a/include/kumquatpitch/peer-message.h
+++ b/include/kumquatpitch/peer-message.h
@@ -8,11 +8,13 @@
 #include "kumquatpitch/host-list.h"
 #include "kumquatpitch/manifest.h"
 #include "kumquatpitch/name.h"
+#include "kumquatpitch/quota-share.h"
 #include "kumquatpitch/result.h"
 #include "kumquatpitch/time-point.h"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -31,7 +33,7 @@
   std::uint64_t High_ = 0;
   std::uint64_t Low_ = 0;
 
-  auto operator<=>(const ContentDigest &) const = default;
+  std::strong_ordering operator<=>(const ContentDigest &) const = default;
 };
 
 /// A version of the manifest or of the host list. The greater one wins: first
@@ -40,7 +42,7 @@
   std::uint64_t Version_ = 0; ///< 0: none is held.
   ContentDigest Digest_;
 
-  auto operator<=>(const TableVersion &) const = default;
+  std::strong_ordering operator<=>(const TableVersion &) const = default;
 };
 
 /// What a host holds of both tables.
@@ -137,34 +139,24 @@
 struct ReportMessage {
   ServiceName Service_;
   TargetId Target_;
-  std::uint64_t Attempts_ = 0;
-  std::uint64_t Failures_ = 0;
-  Duration OldestWait_{};
-  bool Ejected_ = false;
-  bool Leaving_ = false; ///< The target drains.
+  std::uint64_t ScoreMilli_ = 0; ///< Own score of the sender in thousandths.
+  bool Suspects_ = false;        ///< Asks for the receiver's evidence.
+  std::optional<Duration> SinceAnsweredStart_; ///< See TargetEvidence.
+  bool Draining_ = false;                      ///< The target drains.
 
   bool operator==(const ReportMessage &) const = default;
 };
 
-enum class QuotaKind : std::uint8_t { Rate, InProgress };
-
 struct QuotaAskMessage {
   ServiceName Service_;
-  QuotaKind Kind_ = QuotaKind::Rate;
-  std::uint64_t Amount_ = 0;
+  QuotaAsk Ask_;
 
   bool operator==(const QuotaAskMessage &) const = default;
 };
 
-/// Gives quota, or returns lent permits. Credited once for each grant id of the
-/// sender's incarnation, and only by the incarnation that it names.
 struct QuotaGrantMessage {
   ServiceName Service_;
-  QuotaKind Kind_ = QuotaKind::Rate;
-  std::uint64_t Amount_ = 0;
-  std::uint64_t GrantId_ = 0;
-  Incarnation ToIncarnation_ = 0;
-  bool IsReturn_ = false;
+  QuotaGrant Grant_;
 
   bool operator==(const QuotaGrantMessage &) const = default;
 };
--- a/include/kumquatpitch/request-flow.h
+++ b/include/kumquatpitch/request-flow.h
@@ -5,11 +5,13 @@
 #define KUMQUATPITCH_REQUEST_FLOW_H
 
 #include "kumquatpitch/core-action.h"
+#include "kumquatpitch/metrics.h"
 #include "kumquatpitch/request-registry.h"
 #include "kumquatpitch/service-runtime.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,9 +24,15 @@
   std::shared_ptr<ServiceRuntime> Service_;
 };
 
+/// Where a request's attempt runs.
+struct AttemptPlace {
+  std::shared_ptr<ServiceRuntime> Service_;
+  TargetId Target_;
+};
+
 class RequestFlow {
 public:
-  RequestFlow(HostId Self, Incarnation Run, TimePoint Start);
+  RequestFlow(HostId Self, Incarnation Run, TimePoint Start, Metrics &Counters);
 
   /// Decides on a new request and gives its first step.
   FlowStep admit(const RoutedRequest &Routed, TimePoint Now);
@@ -42,11 +50,18 @@
   /// Ends attempts whose deadline has passed and forgets expired ids.
   CoreActions tick(TimePoint Now);
 
+  /// Starts waiting requests that have a slot now and refuses those that can no
+  /// longer be served in time.
+  CoreActions serveQueue(ServiceRuntime &Service, TimePoint Now);
+
   /// Ends attempts at an ejected target that can go on elsewhere, and those on
   /// silent connections.
-  CoreActions onHealthChange(const ServiceRuntime &Service,
+  CoreActions onHealthChange(ServiceRuntime &Service,
                              const HealthChange &Change);
 
+  /// Where the request's attempt runs; none while there is none.
+  std::optional<AttemptPlace> placeOf(FlowId Flow) const;
+
   RequestRegistry &registry() { return Registry_; }
   std::size_t inProgress() const { return Flows_.size(); }
 
@@ -63,23 +78,31 @@
     TargetId Target_;
     std::vector<TargetId> Tried_;
     std::uint32_t Attempts_ = 0;
+    bool HasPermit_ = false; ///< Holds quota of the service.
+    bool IsQueued_ = false;
     bool MayHaveRun_ = false; ///< An attempt ended without proof of not-run.
     bool IsAbandoned_ = false;
     bool IsCancelled_ = false; ///< The running attempt was told to end.
   };
   using FlowMap = std::map<FlowId, FlowState>;
 
+  NextStep admitRouted(const RoutedRequest &Routed, FlowId Id, FlowState &Entry,
+                       TimePoint Now);
   NextStep bind(const RoutedRequest &Routed, FlowState &Entry, TimePoint Now);
-  NextStep start(FlowId Id, FlowState &Entry, TimePoint Now);
-  NextStep afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End,
-                        TimePoint Now);
+  NextStep startOrWait(FlowId Id, FlowState &Entry, TimePoint Now);
+  NextStep start(FlowState &Entry, const TargetId &Chosen, TimePoint Now);
+  AttemptOrder makeOrder(const FlowState &Entry, bool IsFresh) const;
+  NextStep afterFailure(FlowState &Entry, AttemptEnd End, TimePoint Now);
+  std::optional<TargetId> retryTarget(FlowState &Entry, AttemptEnd End,
+                                      TimePoint Now);
   NextStep refuse(const FlowState &Entry, ResultCode Code,
                   const std::string &Message);
-  void close(FlowMap::iterator At, const NextStep &Last, int HttpStatus,
-             TimePoint Now);
+  FlowStep close(FlowMap::iterator At, const NextStep &Last, int HttpStatus,
+                 TimePoint Now);
 
   const HostId Self_;
   const Incarnation Incarnation_;
+  Metrics &Metrics_;
   RequestRegistry Registry_;
   FlowId NextFlow_ = 1;
   AttemptId NextAttempt_ = 1;
--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -5,11 +5,14 @@
 #ifndef KUMQUATPITCH_SERVICE_RUNTIME_H
 #define KUMQUATPITCH_SERVICE_RUNTIME_H
 
+#include "kumquatpitch/admission-queue.h"
 #include "kumquatpitch/assignment.h"
 #include "kumquatpitch/attempt.h"
 #include "kumquatpitch/burn-rate.h"
 #include "kumquatpitch/contract.h"
 #include "kumquatpitch/host-status.h"
+#include "kumquatpitch/quota-share.h"
+#include "kumquatpitch/retry-policy.h"
 #include "kumquatpitch/service-entry.h"
 #include "kumquatpitch/slot-plan.h"
 #include "kumquatpitch/target-health.h"
@@ -32,8 +35,8 @@
 class ServiceRuntime {
 public:
   /// `Random` must outlive the object.
-  ServiceRuntime(ServiceConfig Config, const HostId &Self, RandomSource &Random,
-                 TimePoint Now);
+  ServiceRuntime(ServiceConfig Config, const HostId &Self, Incarnation Run,
+                 RandomSource &Random, TimePoint Now);
 
   /// Takes a changed configuration; what stays keeps its state.
   void setConfig(ServiceConfig Config, TimePoint Now);
@@ -70,6 +73,9 @@
   std::vector<HealthChange> tick(TimePoint Now);
 
   TargetHealth &health() { return Health_; }
+  AdmissionQueue &queue() { return Queue_; }
+  RetryPolicy &retry() { return Retry_; }
+  QuotaShare &quota() { return Quota_; }
   BurnRate &burn() { return Burn_; }
   const BurnRate &burn() const { return Burn_; }
 
@@ -113,6 +119,9 @@
   SlotShares Usable_; ///< As handed to Picker_ and Health_.
   TargetPicker Picker_;
   TargetHealth Health_;
+  AdmissionQueue Queue_;
+  RetryPolicy Retry_;
+  QuotaShare Quota_;
   BurnRate Burn_;
   std::map<TargetId, Condition>
       Conditions_; ///< Of targets that are not usable.
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -9,6 +9,10 @@
 
 namespace kumquatpitch {
 
+static void append(CoreActions &Actions, const CoreActions &More) {
+  Actions.insert(Actions.end(), More.begin(), More.end());
+}
+
 static std::string describeFault(const HostFault &Fault) {
   if (Fault.Cause_ == HostFaultCause::LateTimer)
     return "own pause of " + std::to_string(toMilliseconds(Fault.Lateness_)) +
@@ -27,8 +31,9 @@
                                           Self_.PeerAddress_},
                               Self_.Customers_, Self_.Seeds_},
             Random_, Start),
-      Flow_(Self_.Id_, Self_.Incarnation_, Start), NextHeartbeat_(Start),
-      NextConfigTick_(Start), LastTick_(Start), NotLiveSince_(Start) {}
+      Flow_(Self_.Id_, Self_.Incarnation_, Start, Metrics_),
+      NextHeartbeat_(Start), NextConfigTick_(Start), LastTick_(Start),
+      NotLiveSince_(Start) {}
 
 CoreActions HostCore::onPlatformReply(const PlatformReply &Reply,
                                       TimePoint Now) {
@@ -79,9 +84,9 @@
                            Assigned.group(*Entry)};
       const ServiceMap::iterator Known = Services_.find(Terms.Service_);
       if (Known == Services_.end()) {
-        Renewed.emplace(Terms.Service_,
-                        std::make_shared<ServiceRuntime>(
-                            std::move(Config), Self_.Id_, Random_, Now));
+        Renewed.emplace(Terms.Service_, std::make_shared<ServiceRuntime>(
+                                            std::move(Config), Self_.Id_,
+                                            Self_.Incarnation_, Random_, Now));
         continue;
       }
       Known->second->setConfig(std::move(Config), Now);
@@ -136,9 +141,20 @@
 
 CoreActions HostCore::finishAttempt(FlowId Flow, const AttemptReport &Report,
                                     TimePoint Now) {
+  if (Report.Draining_)
+    tellOfDraining(Flow);
   return Flow_.finishAttempt(Flow, Report, Now);
 }
 
+/// Spreads a drain marker, so that the whole group sends no new work there.
+void HostCore::tellOfDraining(FlowId Flow) {
+  const std::optional<AttemptPlace> Place = Flow_.placeOf(Flow);
+  if (Place)
+    tellGroup(*Place->Service_,
+              ReportMessage{Place->Service_->entry().Service_, Place->Target_,
+                            0, false, std::nullopt, true});
+}
+
 CoreActions HostCore::abandon(FlowId Flow, TimePoint Now) {
   return Flow_.abandon(Flow, Now);
 }
@@ -168,8 +184,70 @@
     if (Peers_.heard(Peer, Now) && !Peers_.hearsUs(Peer, Now))
       OneWay.insert(Peer);
   Sync_.setOneWayPeers(std::move(OneWay));
-  const CoreActions More = applyConfig(Sync_.tick(Now), Now);
-  Actions.insert(Actions.end(), More.begin(), More.end());
+  append(Actions, applyConfig(Sync_.tick(Now), Now));
+  reportTargets(Now);
+}
+
+void HostCore::askForQuota(ServiceRuntime &Service, TimePoint Now) {
+  if (!Service.isAssigned())
+    return;
+  for (const AddressedAsk &Each : Service.quota().tick(Now))
+    if (Peers_.hearsUs(Each.To_, Now))
+      Exchange_.send(Each.To_,
+                     QuotaAskMessage{Service.entry().Service_, Each.Ask_});
+}
+
+void HostCore::reportTargets(TimePoint Now) {
+  constexpr double MilliPerUnit = 1'000;
+  constexpr double MaxScore = 1'000;
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->isAssigned())
+      continue;
+    for (const std::pair<const TargetId, TargetEvidence> &Of :
+         Each.second->health().evidenceToReport(Now))
+      tellGroup(*Each.second,
+                ReportMessage{
+                    Each.first, Of.first,
+                    static_cast<std::uint64_t>(
+                        std::min(Of.second.OwnScore_, MaxScore) * MilliPerUnit),
+                    Of.second.SinceAnsweredStart_, false});
+  }
+}
+
+void HostCore::tellGroup(const ServiceRuntime &Service, const PeerBody &Body) {
+  for (const GroupMember &Member : Service.config().Group_.Members_)
+    if (Member.Host_ != Self_.Id_)
+      Exchange_.send(Member.Host_, Body);
+}
+
+CoreActions HostCore::onReport(const HostId &From, const ReportMessage &Report,
+                               TimePoint Now) {
+  constexpr double MilliPerUnit = 1'000;
+  const ServiceMap::iterator It = Services_.find(Report.Service_);
+  if (It == Services_.end() || !It->second->config().Group_.contains(From))
+    return {};
+  if (Report.Draining_)
+    It->second->markDraining(Report.Target_, Now);
+  else
+    It->second->health().peerReport(
+        From, Report.Target_,
+        TargetEvidence{static_cast<double>(Report.ScoreMilli_) / MilliPerUnit,
+                       Report.Suspects_, Report.SinceAnsweredStart_},
+        Now);
+  return {};
+}
+
+CoreActions HostCore::onQuotaAsk(const HostId &From,
+                                 const QuotaAskMessage &Message,
+                                 TimePoint Now) {
+  const ServiceMap::iterator It = Services_.find(Message.Service_);
+  if (It == Services_.end() || !It->second->config().Group_.contains(From))
+    return {};
+  const std::optional<QuotaGrant> Grant =
+      It->second->quota().onAsk(From, Message.Ask_, Now);
+  if (Grant)
+    Exchange_.send(From, QuotaGrantMessage{Message.Service_, *Grant});
+  return {};
 }
 
 void HostCore::evaluateTargets(CoreActions &Actions, TimePoint Now) {
@@ -188,9 +266,10 @@
       else
         Log_.log(LogLevel::Info, "detector",
                  describeChange(Each.first, Change));
-      const CoreActions More = Flow_.onHealthChange(*Each.second, Change);
-      Actions.insert(Actions.end(), More.begin(), More.end());
+      append(Actions, Flow_.onHealthChange(*Each.second, Change));
     }
+    append(Actions, Flow_.serveQueue(*Each.second, Now));
+    askForQuota(*Each.second, Now);
   }
 }
 
@@ -226,6 +305,17 @@
       return applyConfig(Sync_.onHeartbeat(Message.From_, Beat->Config_, Now),
                          Now);
   }
+  if (const ReportMessage *Report = std::get_if<ReportMessage>(&Message.Body_))
+    return onReport(Message.From_, *Report, Now);
+  if (const QuotaAskMessage *Ask = std::get_if<QuotaAskMessage>(&Message.Body_))
+    return onQuotaAsk(Message.From_, *Ask, Now);
+  if (const QuotaGrantMessage *Grant =
+          std::get_if<QuotaGrantMessage>(&Message.Body_)) {
+    const ServiceMap::iterator It = Services_.find(Grant->Service_);
+    if (It != Services_.end())
+      It->second->quota().onGrant(Message.From_, Grant->Grant_, Now);
+    return {};
+  }
   if (const DigestMessage *Digest = std::get_if<DigestMessage>(&Message.Body_))
     return applyConfig(Sync_.onDigest(Message.From_, *Digest, Now), Now);
   if (const PullMessage *Pull = std::get_if<PullMessage>(&Message.Body_))
--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -13,6 +13,11 @@
 
 namespace {
 
+/// Bounds of what a peer may tell: more is malformed.
+constexpr std::uint64_t MaxScoreMilli = 1'000'000;
+constexpr std::uint64_t MaxPermits = 1'000'000;
+constexpr std::uint64_t MaxQuotaUnits = 1'000'000 * QuotaRequestUnits;
+
 using detail::CborReader;
 using nlohmann::json;
 
@@ -248,51 +253,60 @@
 }
 
 json toCbor(const ReportMessage &Body) {
-  return json::array({Body.Service_.str(), Body.Target_.str(), Body.Attempts_,
-                      Body.Failures_, Body.OldestWait_.count(), Body.Ejected_,
-                      Body.Leaving_});
+  const bool HasAnswered = Body.SinceAnsweredStart_.has_value();
+  return json::array(
+      {Body.Service_.str(), Body.Target_.str(), Body.ScoreMilli_, HasAnswered,
+       Body.SinceAnsweredStart_.value_or(Duration()).count(), Body.Draining_});
 }
 
 ReportMessage readReport(CborReader &Reader) {
   ReportMessage Read;
   Read.Service_ = Reader.name<ServiceTag>();
   Read.Target_ = Reader.name<TargetTag>();
-  Read.Attempts_ = Reader.number();
-  Read.Failures_ = Reader.number();
-  Read.OldestWait_ =
-      Duration(static_cast<Duration::rep>(Reader.number(INT64_MAX)));
-  Read.Ejected_ = Reader.boolean();
-  Read.Leaving_ = Reader.boolean();
+  Read.ScoreMilli_ = Reader.number(MaxScoreMilli);
+  Read.Suspects_ = Reader.boolean();
+  const bool HasAnswered = Reader.boolean();
+  const Duration Since(static_cast<Duration::rep>(Reader.number(INT64_MAX)));
+  if (HasAnswered)
+    Read.SinceAnsweredStart_ = Since;
+  Read.Draining_ = Reader.boolean();
   return Read;
 }
 
 json toCbor(const QuotaAskMessage &Body) {
-  return json::array(
-      {Body.Service_.str(), static_cast<unsigned>(Body.Kind_), Body.Amount_});
+  const QuotaAsk &Ask = Body.Ask_;
+  return json::array({Body.Service_.str(), Ask.Id_, Ask.Borrower_,
+                      Ask.LastCredited_, Ask.Rate_, Ask.HeldPermits_,
+                      Ask.Permits_});
 }
 
 QuotaAskMessage readAsk(CborReader &Reader) {
   QuotaAskMessage Read;
   Read.Service_ = Reader.name<ServiceTag>();
-  Read.Kind_ = static_cast<QuotaKind>(Reader.number(1));
-  Read.Amount_ = Reader.number();
+  Read.Ask_.Id_ = Reader.number();
+  Read.Ask_.Borrower_ = Reader.number();
+  Read.Ask_.LastCredited_ = Reader.number();
+  Read.Ask_.Rate_ = static_cast<std::int64_t>(Reader.number(MaxQuotaUnits));
+  Read.Ask_.HeldPermits_ =
+      static_cast<std::uint32_t>(Reader.number(MaxPermits));
+  Read.Ask_.Permits_ = static_cast<std::uint32_t>(Reader.number(MaxPermits));
   return Read;
 }
 
 json toCbor(const QuotaGrantMessage &Body) {
-  return json::array({Body.Service_.str(), static_cast<unsigned>(Body.Kind_),
-                      Body.Amount_, Body.GrantId_, Body.ToIncarnation_,
-                      Body.IsReturn_});
+  const QuotaGrant &Grant = Body.Grant_;
+  return json::array({Body.Service_.str(), Grant.AskId_, Grant.Borrower_,
+                      Grant.Lender_, Grant.Rate_, Grant.Permits_});
 }
 
 QuotaGrantMessage readGrant(CborReader &Reader) {
   QuotaGrantMessage Read;
   Read.Service_ = Reader.name<ServiceTag>();
-  Read.Kind_ = static_cast<QuotaKind>(Reader.number(1));
-  Read.Amount_ = Reader.number();
-  Read.GrantId_ = Reader.number();
-  Read.ToIncarnation_ = Reader.number();
-  Read.IsReturn_ = Reader.boolean();
+  Read.Grant_.AskId_ = Reader.number();
+  Read.Grant_.Borrower_ = Reader.number();
+  Read.Grant_.Lender_ = Reader.number();
+  Read.Grant_.Rate_ = static_cast<std::int64_t>(Reader.number(MaxQuotaUnits));
+  Read.Grant_.Permits_ = static_cast<std::uint32_t>(Reader.number(MaxPermits));
   return Read;
 }
 
@@ -310,7 +324,7 @@
     {"pull", 4, [](CborReader &R) -> PeerBody { return readPull(R); }},
     {"part", 2, [](CborReader &R) -> PeerBody { return readPart(R); }},
     {"report", 7, [](CborReader &R) -> PeerBody { return readReport(R); }},
-    {"quota-ask", 3, [](CborReader &R) -> PeerBody { return readAsk(R); }},
+    {"quota-ask", 7, [](CborReader &R) -> PeerBody { return readAsk(R); }},
     {"quota-grant", 6, [](CborReader &R) -> PeerBody { return readGrant(R); }},
 }};
 
--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -74,8 +74,10 @@
 
 } // namespace
 
-RequestFlow::RequestFlow(HostId Self, Incarnation Run, TimePoint Start)
-    : Self_(std::move(Self)), Incarnation_(Run), Registry_(Self_, Run, Start) {}
+RequestFlow::RequestFlow(HostId Self, Incarnation Run, TimePoint Start,
+                         Metrics &Counters)
+    : Self_(std::move(Self)), Incarnation_(Run), Metrics_(Counters),
+      Registry_(Self_, Run, Start) {}
 
 FlowStep RequestFlow::admit(const RoutedRequest &Routed, TimePoint Now) {
   const FlowId Id = NextFlow_++;
@@ -87,12 +89,27 @@
   const Duration Longest = Entry.Service_->terms().Deadline_;
   Entry.Deadline_ =
       Now + std::min(Longest, Routed.Request_.Deadline_.value_or(Longest));
-  NextStep First = bind(Routed, Entry, Now);
-  if (std::holds_alternative<Wait>(First))
-    First = start(Id, Entry, Now);
-  if (isLast(First))
-    close(At, First, 0, Now);
-  return FlowStep{Id, First};
+  const NextStep First = admitRouted(Routed, Id, Entry, Now);
+  return isLast(First) ? close(At, First, 0, Now) : FlowStep{Id, First};
+}
+
+NextStep RequestFlow::admitRouted(const RoutedRequest &Routed, FlowId Id,
+                                  FlowState &Entry, TimePoint Now) {
+  const NextStep Bound = bind(Routed, Entry, Now);
+  if (isLast(Bound))
+    return Bound;
+  ServiceRuntime &Service = *Entry.Service_;
+  if (!Service.isAssigned())
+    return RequestRefusal{ResultCode::WrongHost, Outcome::NotRun,
+                          "this host does not serve the service",
+                          addressesOf(Service.config().Group_)};
+  if (Now >= Entry.Deadline_)
+    return refuseNotRun(ResultCode::DeadlinePassed, "the deadline has passed");
+  const ResultCode Quota = Service.quota().tryAcquire(Now);
+  if (Quota != ResultCode::Ok)
+    return refuseNotRun(Quota, "the contract's limit is used up");
+  Entry.HasPermit_ = true;
+  return startOrWait(Id, Entry, Now);
 }
 
 /// Checks the token of a request that may not be repeated. This comes before
@@ -125,44 +142,52 @@
       });
 }
 
-NextStep RequestFlow::start(FlowId Id, FlowState &Entry, TimePoint Now) {
-  static_cast<void>(Id);
+NextStep RequestFlow::startOrWait(FlowId Id, FlowState &Entry, TimePoint Now) {
   ServiceRuntime &Service = *Entry.Service_;
-  if (!Service.isAssigned()) {
-    RequestRefusal Elsewhere{ResultCode::WrongHost, Outcome::NotRun,
-                             "this host does not serve the service",
-                             addressesOf(Service.config().Group_)};
-    return Elsewhere;
-  }
-  if (Now >= Entry.Deadline_)
-    return refuse(Entry, ResultCode::DeadlinePassed, "the deadline has passed");
-  const std::optional<TargetId> Chosen = Service.pick(Entry.Tried_, Now);
-  if (!Chosen)
-    return refuse(Entry, ResultCode::NoTarget, "no target has a free slot");
-  const Target *Found = findTarget(Service.entry(), *Chosen);
+  if (Service.queue().size() == 0)
+    if (const std::optional<TargetId> Chosen = Service.pick({}, Now))
+      return start(Entry, *Chosen, Now);
+  const ResultCode Code = Service.queue().offer(Id, Entry.Deadline_, Now);
+  if (Code != ResultCode::Ok)
+    return refuse(Entry, Code, "no slot is free in time");
+  Entry.IsQueued_ = true;
+  return Wait();
+}
+
+NextStep RequestFlow::start(FlowState &Entry, const TargetId &Chosen,
+                            TimePoint Now) {
+  ServiceRuntime &Service = *Entry.Service_;
+  if (Entry.Attempts_ == 0)
+    Service.retry().firstAttempt(Now);
   Entry.Attempt_ = NextAttempt_++;
-  Entry.Target_ = *Chosen;
-  Entry.Tried_.push_back(*Chosen);
+  Entry.Target_ = Chosen;
+  Entry.Tried_.push_back(Chosen);
   Entry.IsCancelled_ = false;
   ++Entry.Attempts_;
   // A kept connection may be closing at the other end, which would leave a
   // request that may not be repeated as unknown.
   const bool IsFresh =
-      !Entry.IsIdempotent_ || Service.wantsNewConnection(*Chosen, Now);
-  Service.attemptStarted(*Chosen, Entry.Attempt_, IsFresh, Now);
+      !Entry.IsIdempotent_ || Service.wantsNewConnection(Chosen, Now);
+  Service.attemptStarted(Chosen, Entry.Attempt_, IsFresh, Now);
+  return makeOrder(Entry, IsFresh);
+}
+
+AttemptOrder RequestFlow::makeOrder(const FlowState &Entry,
+                                    bool IsFresh) const {
+  const ServiceEntry &Listed = Entry.Service_->entry();
   AttemptOrder Order;
   Order.Id_ = Entry.Attempt_;
   Order.WireId_ = wireId(Incarnation_, Entry.Attempt_);
-  Order.Service_ = Service.entry().Service_;
-  Order.Target_ = *Chosen;
-  Order.Address_ = Found->Address_;
+  Order.Service_ = Listed.Service_;
+  Order.Target_ = Entry.Target_;
+  Order.Address_ = findTarget(Listed, Entry.Target_)->Address_;
   Order.Deadline_ = Entry.Deadline_;
   Order.FreshConnection_ = IsFresh;
-  Order.MaxAnswerBytes_ = Service.terms().MaxAnswerBytes_;
-  Order.EchoHeader_ = Service.entry().EchoHeader_;
-  Order.Refusal_ = Service.entry().Refusal_;
-  Order.Drain_ = Service.entry().Drain_;
-  Order.LoadHeader_ = Service.entry().LoadHeader_;
+  Order.MaxAnswerBytes_ = Entry.Service_->terms().MaxAnswerBytes_;
+  Order.EchoHeader_ = Listed.EchoHeader_;
+  Order.Refusal_ = Listed.Refusal_;
+  Order.Drain_ = Listed.Drain_;
+  Order.LoadHeader_ = Listed.LoadHeader_;
   return Order;
 }
 
@@ -179,53 +204,122 @@
   if (At == Flows_.end() || At->second.Attempt_ == 0)
     return {};
   FlowState &Entry = At->second;
-  Entry.Service_->attemptEnded(Entry.Target_, Entry.Attempt_, Report, Now);
+  const std::shared_ptr<ServiceRuntime> Service = Entry.Service_;
+  Service->attemptEnded(Entry.Target_, Entry.Attempt_, Report, Now);
+  Metrics_.attemptEnded(Service->entry().Customer_, Service->entry().Service_,
+                        Report.End_, Now);
   Entry.Attempt_ = 0;
-  const bool IsAnswered = Report.End_ == AttemptEnd::Answered;
-  const NextStep Next = IsAnswered
+  if (Report.End_ == AttemptEnd::Answered)
+    Metrics_.addedLatency(Service->entry().Customer_, Service->entry().Service_,
+                          Now - Entry.Arrived_ - Report.Latency_, Now);
+  const NextStep Next = Report.End_ == AttemptEnd::Answered
                             ? NextStep(Deliver())
-                            : afterFailure(Flow, Entry, Report.End_, Now);
-  if (isLast(Next))
-    close(At, Next, Report.HttpStatus_, Now);
-  return {FlowStep{Flow, Next}};
+                            : afterFailure(Entry, Report.End_, Now);
+  CoreActions Actions;
+  Actions.push_back(isLast(Next) ? close(At, Next, Report.HttpStatus_, Now)
+                                 : FlowStep{Flow, Next});
+  const CoreActions More = serveQueue(*Service, Now);
+  Actions.insert(Actions.end(), More.begin(), More.end());
+  return Actions;
 }
 
-NextStep RequestFlow::afterFailure(FlowId Id, FlowState &Entry, AttemptEnd End,
+NextStep RequestFlow::afterFailure(FlowState &Entry, AttemptEnd End,
                                    TimePoint Now) {
   if (!provesNotRun(End))
     Entry.MayHaveRun_ = true;
-  const std::uint32_t MaxAttempts =
-      Entry.IsIdempotent_ ? Entry.Service_->terms().Retry_.MaxAttempts_
-      : End == AttemptEnd::ConnectFailed ? 2
-                                         : 1;
-  const bool MayTryAgain = Entry.Attempts_ < MaxAttempts;
-  if (MayTryAgain && !Entry.IsAbandoned_) {
-    NextStep Again = start(Id, Entry, Now);
-    if (std::holds_alternative<AttemptOrder>(Again))
-      return Again;
-  }
+  if (const std::optional<TargetId> Other = retryTarget(Entry, End, Now))
+    return start(Entry, *Other, Now);
   return refuse(Entry, codeOf(End), "the attempt at the backend server failed");
 }
 
-void RequestFlow::close(FlowMap::iterator At, const NextStep &Last,
-                        int HttpStatus, TimePoint Now) {
-  FlowState &Entry = At->second;
+/// Another target for a request whose attempt failed, or none when it may not
+/// be tried again.
+std::optional<TargetId>
+RequestFlow::retryTarget(FlowState &Entry, AttemptEnd End, TimePoint Now) {
+  ServiceRuntime &Service = *Entry.Service_;
+  if (Entry.IsAbandoned_ || Now >= Entry.Deadline_)
+    return std::nullopt;
+  const std::optional<TargetId> Other = Service.pick(Entry.Tried_, Now);
+  const bool IsOther =
+      Other && std::find(Entry.Tried_.begin(), Entry.Tried_.end(), *Other) ==
+                   Entry.Tried_.end();
+  if (!IsOther)
+    return std::nullopt;
+  if (!Entry.IsIdempotent_) {
+    // Nothing reached the first target, so this is still the first run.
+    const bool IsUnsent = End == AttemptEnd::ConnectFailed;
+    return IsUnsent && Entry.Attempts_ == 1 ? Other : std::nullopt;
+  }
+  RetryContext Context;
+  Context.Idempotent_ = true;
+  Context.Attempts_ = Entry.Attempts_;
+  Context.Deadline_ = Entry.Deadline_;
+  Context.HasOtherTarget_ = true;
+  Context.IsQueueEmpty_ = Service.queue().size() == 0;
+  Context.LastEnd_ = End;
+  return Service.retry().mayRetry(Context, Now) == RetryVerdict::Allowed
+             ? Other
+             : std::nullopt;
+}
+
+FlowStep RequestFlow::close(FlowMap::iterator At, const NextStep &Last,
+                            int HttpStatus, TimePoint Now) {
+  const FlowState &Entry = At->second;
+  ServiceRuntime &Service = *Entry.Service_;
   if (Entry.IsBound_)
     Registry_.finish(Entry.Token_, Entry.Key_, outcomeOf(Last), Now);
-  Entry.Service_->burn().record(RequestEnd{codeOf(Last), outcomeOf(Last),
-                                           HttpStatus, Now - Entry.Arrived_},
-                                Now);
+  if (Entry.HasPermit_)
+    Service.quota().release(Now);
+  const RequestEnd End{codeOf(Last), outcomeOf(Last), HttpStatus,
+                       Now - Entry.Arrived_};
+  Service.burn().record(End, Now);
+  Metrics_.requestEnded(Service.entry().Customer_, Service.entry().Service_,
+                        End, Now);
+  const FlowStep Closed{At->first, Last};
   Flows_.erase(At);
+  return Closed;
 }
 
-CoreActions RequestFlow::abandon(FlowId Flow, TimePoint) {
+CoreActions RequestFlow::serveQueue(ServiceRuntime &Service, TimePoint Now) {
+  CoreActions Actions;
+  while (Service.queue().size() > 0) {
+    const std::optional<TargetId> Chosen = Service.pick({}, Now);
+    const std::optional<QueueKey> Key =
+        Chosen ? Service.queue().next(Now) : std::nullopt;
+    if (!Key)
+      break;
+    FlowState &Entry = Flows_.at(*Key);
+    Entry.IsQueued_ = false;
+    Actions.push_back(FlowStep{*Key, start(Entry, *Chosen, Now)});
+  }
+  for (const DroppedRequest &Dropped : Service.queue().expired(Now))
+    Actions.push_back(close(Flows_.find(Dropped.Key_),
+                            refuseNotRun(Dropped.Code_, "no slot was free in "
+                                                        "time"),
+                            0, Now));
+  return Actions;
+}
+
+CoreActions RequestFlow::abandon(FlowId Flow, TimePoint Now) {
   const FlowMap::iterator At = Flows_.find(Flow);
   if (At == Flows_.end())
     return {};
-  At->second.IsAbandoned_ = true;
-  if (At->second.Attempt_ == 0)
+  FlowState &Entry = At->second;
+  Entry.IsAbandoned_ = true;
+  if (Entry.Attempt_ != 0)
+    return {CancelAttempt{Entry.Attempt_, AttemptEnd::Cancelled}};
+  if (!Entry.IsQueued_)
     return {};
-  return {CancelAttempt{At->second.Attempt_, AttemptEnd::Cancelled}};
+  Entry.Service_->queue().remove(Flow);
+  return {close(At, refuse(Entry, ResultCode::CallerGone, "the caller left"), 0,
+                Now)};
+}
+
+std::optional<AttemptPlace> RequestFlow::placeOf(FlowId Flow) const {
+  const FlowMap::const_iterator At = Flows_.find(Flow);
+  if (At == Flows_.end() || At->second.Attempt_ == 0)
+    return std::nullopt;
+  return AttemptPlace{At->second.Service_, At->second.Target_};
 }
 
 bool RequestFlow::mayWrite(FlowId Flow, TimePoint Now) const {
@@ -247,7 +341,7 @@
   return Actions;
 }
 
-CoreActions RequestFlow::onHealthChange(const ServiceRuntime &Service,
+CoreActions RequestFlow::onHealthChange(ServiceRuntime &Service,
                                         const HealthChange &Change) {
   CoreActions Actions;
   const bool IsSilent = Change.Kind_ == HealthChangeKind::CloseConnections;
@@ -256,6 +350,7 @@
         findTarget(Service.entry(), Change.Target_)->Address_});
   if (!IsSilent && Change.Kind_ != HealthChangeKind::Ejected)
     return Actions;
+  std::uint32_t Movable = Service.retry().budget();
   for (FlowMap::value_type &Each : Flows_) {
     FlowState &Entry = Each.second;
     if (Entry.Service_.get() != &Service || Entry.Attempt_ == 0 ||
@@ -267,9 +362,11 @@
                   Change.Silent_->Attempts_.end(),
                   Entry.Attempt_) != Change.Silent_->Attempts_.end();
     // Work that can go on elsewhere need not wait for the deadline.
-    const bool CanMove = !IsSilent && Entry.IsIdempotent_;
+    const bool CanMove = !IsSilent && Entry.IsIdempotent_ && Movable > 0;
     if (!IsOnSilent && !CanMove)
       continue;
+    if (CanMove)
+      --Movable;
     Entry.IsCancelled_ = true;
     Actions.push_back(CancelAttempt{Entry.Attempt_, AttemptEnd::TimedOut});
   }
--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -44,11 +44,28 @@
   return "";
 }
 
+std::vector<HostId> membersOf(const Group &Hosts) {
+  std::vector<HostId> Members;
+  for (const GroupMember &Member : Hosts.Members_)
+    Members.push_back(Member.Host_);
+  return Members;
+}
+
+/// One host's part of the contract's queue, at least one place if there is a
+/// queue at all.
+QueueTerms queueShare(const QueueTerms &Terms, const Group &Hosts) {
+  const std::uint32_t Members = std::max<std::uint32_t>(
+      1, static_cast<std::uint32_t>(Hosts.Members_.size()));
+  return QueueTerms{(Terms.MaxRequests_ + Members - 1) / Members,
+                    Terms.MaxWait_};
+}
+
 } // namespace
 
 ServiceRuntime::ServiceRuntime(ServiceConfig Config, const HostId &Self,
-                               RandomSource &Random, TimePoint Now)
-    : Self_(Self), Picker_(Random),
+                               Incarnation Run, RandomSource &Random,
+                               TimePoint Now)
+    : Self_(Self), Picker_(Random), Quota_(Self, Run, *Config.Terms_),
       Burn_(Config.Contract_->Customer_, Config.Terms_->Service_,
             Config.Terms_->Slo_, Now) {
   setConfig(std::move(Config), Now);
@@ -60,6 +77,9 @@
   Plan_ = slotPlan(entry(), Config_.Group_);
   Slots_.setPlan(Plan_.ownShares(Self_), terms().Deadline_, Now);
   Burn_.setObjective(terms().Slo_, Now);
+  Retry_.setTerms(terms().Retry_);
+  Quota_.setTerms(terms(), Now);
+  Quota_.setGroup(membersOf(Config_.Group_), Now);
   applySlots(Now);
 }
 
@@ -70,6 +90,10 @@
   for (const SlotShares::value_type &Each : Usable_)
     Counts.emplace(Each.first, Each.second.Slots_);
   Health_.setEntry(entry(), Counts, Now);
+  std::uint32_t Slots = 0;
+  for (const SlotShares::value_type &Each : Usable_)
+    Slots += Each.second.Slots_;
+  Queue_.setTerms(queueShare(terms().Queue_, Config_.Group_), Slots);
 }
 
 bool ServiceRuntime::hasSlots() const {
@@ -94,6 +118,9 @@
                                   const AttemptReport &Report, TimePoint Now) {
   Picker_.ended(Target, Report, Now);
   Health_.attemptEnded(Target, Attempt, Report, Now);
+  Retry_.noteOutcome(Report, Now);
+  if (Report.End_ == AttemptEnd::Answered)
+    Queue_.noteServiceTime(Report.Latency_);
   if (Report.Draining_)
     markDraining(Target, Now);
 }
@@ -167,6 +194,13 @@
   Status.FloorTargets_ = entry().FloorTargets_;
   for (const GroupMember &Member : Config_.Group_.Members_)
     Status.Group_.push_back(Member.Host_);
+  const std::size_t Members = std::max<std::size_t>(1, Status.Group_.size());
+  Status.Quota_.RatePerSecond_ = static_cast<double>(terms().RatePerSecond_) /
+                                 static_cast<double>(Members);
+  Status.Quota_.InProgressShare_ =
+      terms().InProgress_ / static_cast<std::uint32_t>(Members);
+  Status.Quota_.InProgress_ = Quota_.inProgress();
+  Status.Queued_ = static_cast<std::uint32_t>(Queue_.size());
   for (const Target &Each : entry().Targets_)
     Status.Targets_.push_back(targetStatus(Each, Now));
   return Status;
--- a/test/peer-message-test.cc
+++ b/test/peer-message-test.cc
@@ -56,11 +56,10 @@
                                 {"service/old"}}},
       PartMessage{HostsDelta{Version, Version, {Host}, {}}},
       PartMessage{DocumentBody{"contract/imigongo", Hash, false, "{\"a\":1}"}},
-      ReportMessage{ServiceName("ledger"), TargetId("t1"), 9, 4,
-                    std::chrono::milliseconds(250), true, false},
-      QuotaAskMessage{ServiceName("ledger"), QuotaKind::InProgress, 12},
-      QuotaGrantMessage{ServiceName("ledger"), QuotaKind::Rate, 5, 77, 99,
-                        true}};
+      ReportMessage{ServiceName("ledger"), TargetId("t1"), 900, true,
+                    std::chrono::milliseconds(250), true},
+      QuotaAskMessage{ServiceName("ledger"), QuotaAsk{1, 2, 3, 4, 5, 6}},
+      QuotaGrantMessage{ServiceName("ledger"), QuotaGrant{1, 2, 3, 4, 5}}};
 }
 
 TEST_GROUP(PeerMessage){};
@@ -106,8 +105,8 @@
 }
 
 static std::string encodedWith(const char *Field, const json &Value) {
-  json Map = json::from_cbor(encodePeerMessage(
-      messageWith(QuotaAskMessage{ServiceName("ledger"), QuotaKind::Rate, 1})));
+  json Map = json::from_cbor(encodePeerMessage(messageWith(
+      QuotaAskMessage{ServiceName("ledger"), QuotaAsk{1, 2, 3, 4, 5, 6}})));
   Map[Field] = Value;
   std::string Bytes;
   json::to_cbor(Map, Bytes);
