--- /dev/null
+++ b/src/detection-thresholds.cc
@@ -0,0 +1,58 @@
+// Values of the two profiles. See detection-thresholds.h.
+
+#include "kumquatpitch/detection-thresholds.h"
+
+namespace kumquatpitch {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+// One request cannot reach the required points, not even with peers' evidence:
+// a single long request must not cost a target, and neither must connections
+// that go silent at all hosts at once. A peer gain of 0.75 ejected in the
+// latter case.
+constexpr DetectionThresholds AvoidFalse{
+    .StallFloor_ = milliseconds(700),
+    .StallFactor_ = 6,
+    .RequiredPoints_ = 3,
+    .MaxRequestPoints_ = 1.8,
+    .ErrorPoints_ = 0.5,
+    .MinBadFraction_ = 0.25,
+    .PeerGain_ = 0.5,
+    .SlowFactor_ = 12,
+    .SlowSamples_ = 30,
+    .Window_ = seconds(30),
+    .ConfirmDelay_ = seconds(1),
+    .BaseEjection_ = seconds(5),
+    .MaxEjection_ = seconds(60),
+    .ForgetAfter_ = minutes(5),
+};
+
+// One stalled request is enough, since a host may own a single slot.
+constexpr DetectionThresholds Fast{
+    .StallFloor_ = milliseconds(450),
+    .StallFactor_ = 3,
+    .RequiredPoints_ = 1,
+    .MaxRequestPoints_ = 2,
+    .ErrorPoints_ = 0.34,
+    .MinBadFraction_ = 0.25,
+    .PeerGain_ = 0.5,
+    .SlowFactor_ = 5,
+    .SlowSamples_ = 8,
+    .Window_ = seconds(10),
+    .ConfirmDelay_ = milliseconds(150),
+    .BaseEjection_ = seconds(5),
+    .MaxEjection_ = minutes(5),
+    .ForgetAfter_ = minutes(10),
+};
+
+} // namespace
+
+const DetectionThresholds &thresholdsFor(DetectionProfile Profile) {
+  return Profile == DetectionProfile::FastDetection ? Fast : AvoidFalse;
+}
+
+} // namespace kumquatpitch
