--- a/include/kumquatpitch/host-fault-monitor.h
+++ b/include/kumquatpitch/host-fault-monitor.h
@@ -32,7 +32,7 @@
   /// A timer that is later than this is a sign of a pause of the process.
   static constexpr Duration LateTimerLimit = std::chrono::milliseconds(100);
 
-  /// Targets that turn bad within this time count together; a suspected fault
+  /// Targets that are bad within this time count together; a suspected fault
   /// also lasts this long after its last sign.
   static constexpr Duration Window = std::chrono::seconds(1);
 
@@ -42,7 +42,7 @@
   /// A timer that was due at `Expected` fired at `Actual`.
   void timerFired(TimePoint Expected, TimePoint Actual);
 
-  /// A target became suspect. Repetitions count once.
+  /// A target is suspect. It counts from its last call on, once.
   void targetTurnedBad(const ServiceName &Service, const TargetId &Target,
                        TimePoint Now);
 
@@ -54,7 +54,7 @@
   std::size_t servicesWithManyBad(TimePoint Now) const;
 
   std::map<ServiceName, std::size_t> TargetCounts_;
-  /// When each target last turned bad; only services of TargetCounts_.
+  /// When each target was last bad; only services of TargetCounts_.
   std::map<ServiceName, std::map<TargetId, TimePoint>> TurnedBad_;
   std::optional<HostFault> Fault_;
   TimePoint FaultUntil_;
--- a/include/kumquatpitch/outlier-detector.h
+++ b/include/kumquatpitch/outlier-detector.h
@@ -35,8 +35,9 @@
 /// How suspect a target is, with the figures behind it.
 struct Suspicion {
   TargetId Target_;
-  /// From own evidence alone, without regard to siblings; suspect from
-  /// SuspectScore on.
+  /// From all that hangs or fails here, without regard to siblings, peers and
+  /// connections that may be silent; suspect from SuspectScore on. A fault of
+  /// this host shows in it, which the other score explains away.
   double OwnScore_ = 0;
   double Score_ = 0; ///< With siblings and peers; 1 or more: ejection.
   SuspicionCause Cause_ = SuspicionCause::Stalled;
@@ -164,7 +165,7 @@
   const Record *find(const TargetId &Target) const;
   Duration stallAge(const Record &Of, TimePoint Now) const;
   double hangPoints(const Record &Of, Duration Wait, TimePoint Now) const;
-  double waitingPoints(const Record &Of, const Waiting &Request,
+  double waitingPoints(const Record &Of, const Waiting &Request, bool Explain,
                        TimePoint Now) const;
   double endedPoints(const Record &Of, const Waiting &Request,
                      const AttemptReport &Report, TimePoint Now) const;
@@ -180,7 +181,8 @@
   void expire(Record &Of, TimePoint Now) const;
   std::optional<SilentConnections> takeSilent(const TargetId &Target,
                                               Record &Of, TimePoint Now) const;
-  Figures figures(const Record &Of, TimePoint Now) const;
+  /// With `Explain`, requests that peers' answers explain count less or not.
+  Figures figures(const Record &Of, bool Explain, TimePoint Now) const;
   double ownScore(const Record &Of, const Figures &Own) const;
   double slowScore(const Record &Of) const;
   double latencyRatio(const Record &Of) const;
--- a/include/kumquatpitch/target-health.h
+++ b/include/kumquatpitch/target-health.h
@@ -75,6 +75,11 @@
   /// earliest in the evaluation after the one that reports it as suspected.
   std::vector<HealthChange> evaluate(TimePoint Now);
 
+  /// Targets that were suspect at the last evaluation and are not ejected. All
+  /// are to be told to HostFaultMonitor after each evaluation: in a network cut
+  /// they turn suspect over several seconds, and only together show the cause.
+  std::vector<TargetId> suspects() const;
+
   /// True when the target is serving and not ejected here.
   bool isUsable(const TargetId &Target) const;
 
--- a/src/outlier-detector.cc
+++ b/src/outlier-detector.cc
@@ -122,7 +122,8 @@
         Of.LastNewAnsweredStart_.value_or(Request.Start_), Request.Start_);
   if (Request.Cleared_ || isError(Report))
     return;
-  const double Latency = std::max<double>(1, Report.Latency_.count());
+  const double Latency =
+      std::max(1.0, static_cast<double>(Report.Latency_.count()));
   Of.Typical_.add(Latency);
   Of.High_.add(Latency);
   Usual_.add(Latency);
--- a/src/outlier-score.cc
+++ b/src/outlier-score.cc
@@ -70,7 +70,7 @@
     if (std::optional<SilentConnections> Silent =
             takeSilent(Each.first, Each.second, Now))
       Findings.Silent_.push_back(std::move(*Silent));
-    BadFractions.push_back(figures(Each.second, Now).badFraction());
+    BadFractions.push_back(figures(Each.second, true, Now).badFraction());
   }
   std::size_t Index = 0;
   for (const std::pair<const TargetId, Record> &Each : Records_) {
@@ -147,15 +147,14 @@
 }
 
 double OutlierDetector::waitingPoints(const Record &Of, const Waiting &Request,
-                                      TimePoint Now) const {
+                                      bool Explain, TimePoint Now) const {
   const double Points = hangPoints(Of, Now - Request.Start_, Now);
   if (Points == 0 ||
-      isOnSilentConnection(Of, Request.NewConnection_, Request.Start_) ||
-      mayBeSilent(Of, Request, Now))
+      isOnSilentConnection(Of, Request.NewConnection_, Request.Start_))
     return 0;
-  if (answersPeers(Of, Request.Start_, Now))
-    return Points * AnswersPeersPart;
-  return Points;
+  if (!Explain || !answersPeers(Of, Request.Start_, Now))
+    return Points;
+  return mayBeSilent(Of, Request, Now) ? 0 : Points * AnswersPeersPart;
 }
 
 bool OutlierDetector::answersPeers(const Record &Of, TimePoint After,
@@ -172,8 +171,8 @@
   return std::any_of(Of.Peers_.begin(), Of.Peers_.end(), WasAnswered);
 }
 
-OutlierDetector::Figures OutlierDetector::figures(const Record &Of,
-                                                  TimePoint Now) const {
+OutlierDetector::Figures
+OutlierDetector::figures(const Record &Of, bool Explain, TimePoint Now) const {
   Figures Found;
   std::optional<TimePoint> FirstBad;
   double ErrorPoints = 0;
@@ -183,12 +182,12 @@
     FirstBad = std::min(FirstBad.value_or(Start), Start);
   };
   for (const std::pair<const AttemptId, Waiting> &Each : Of.Waiting_) {
-    const double Points = waitingPoints(Of, Each.second, Now);
+    const Waiting &Request = Each.second;
+    const double Points = waitingPoints(Of, Request, Explain, Now);
     if (Points == 0)
       continue;
-    NoteBad(Points, Each.second.Start_);
-    Found.OldestWaiting_ =
-        std::max(Found.OldestWaiting_, Now - Each.second.Start_);
+    NoteBad(Points, Request.Start_);
+    Found.OldestWaiting_ = std::max(Found.OldestWaiting_, Now - Request.Start_);
   }
   if (Of.BadEnded_ > 0)
     for (const Ended &Each : Of.Ended_)
@@ -239,15 +238,15 @@
                                                     const Record &Of,
                                                     double SiblingBadFraction,
                                                     TimePoint Now) const {
-  const Figures Own = figures(Of, Now);
+  const Figures Own = figures(Of, true, Now);
   const double Slow = slowScore(Of);
   Suspicion Found;
-  Found.OwnScore_ = ownScore(Of, Own);
+  Found.OwnScore_ = ownScore(Of, figures(Of, false, Now));
   if (Found.OwnScore_ <= 0)
     return std::nullopt;
   const bool IsOutlier =
       Own.badFraction() >= SiblingFactor * SiblingBadFraction;
-  const double Score = IsOutlier ? Found.OwnScore_ : Slow;
+  const double Score = IsOutlier ? ownScore(Of, Own) : Slow;
   const double Peers = peerScore(Of, Now);
   Found.Target_ = Target;
   Found.Score_ = Score + std::min(Peers, Score * Thresholds_->PeerGain_);
@@ -274,7 +273,7 @@
       return Peer.second.Evidence_.Suspects_ &&
              Now - Peer.second.At_ <= PeerEvidenceAge;
     };
-    const double Score = ownScore(Of, figures(Of, Now));
+    const double Score = ownScore(Of, figures(Of, true, Now));
     const bool Suspects =
         Score > 0 || std::any_of(Of.Waiting_.begin(), Of.Waiting_.end(), Hangs);
     if (!Suspects && std::none_of(Of.Peers_.begin(), Of.Peers_.end(), Asks))
--- a/src/target-health.cc
+++ b/src/target-health.cc
@@ -204,6 +204,14 @@
   }
 }
 
+std::vector<TargetId> TargetHealth::suspects() const {
+  std::vector<TargetId> Suspects;
+  for (const std::pair<const TargetId, State> &Each : States_)
+    if (Each.second.SuspectSince_)
+      Suspects.push_back(Each.first);
+  return Suspects;
+}
+
 bool TargetHealth::isUsable(const TargetId &Target) const {
   const std::map<TargetId, State>::const_iterator It = States_.find(Target);
   return It != States_.end() && It->second.isUsable();
