--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -210,7 +210,7 @@
                     Each.first, Of.first,
                     static_cast<std::uint64_t>(
                         std::min(Of.second.OwnScore_, MaxScore) * MilliPerUnit),
-                    Of.second.SinceAnsweredStart_, false});
+                    Of.second.Suspects_, Of.second.SinceAnsweredStart_, false});
   }
 }
 
