Measure isolation over seeds and with one host loaded

Cause: one seed gave a ratio of p99 that depended on the draw, and the load of the other customer was spread evenly, which moves no quota.

The address sanitizer hides the heap from mallinfo2, so the memory bound of at-most-once-bench passed at 0 bytes there. It now says that it was not measured, and 0 bytes fail in other builds.

Conclusion: lending does not let a customer at its limit move another's p99 by more than 10% in this model. The cost of refusing requests is not modelled.

--- a/bench/at-most-once-bench.cc
+++ b/bench/at-most-once-bench.cc
@@ -233,7 +233,12 @@
               Registry.entries(), Used, Used / Registry.entries(),
               Registry.bytes(), MaxControlBytes);
   const bool Complete = Registry.entries() == RequestsPerSecond * MemorySeconds;
-  return Complete && Used <= MaxControlBytes && Used <= Registry.bytes();
+#ifdef __SANITIZE_ADDRESS__
+  std::printf("memory: heap not measured, the sanitizer replaces malloc\n");
+  return Complete;
+#endif
+  return Complete && Used > 0 && Used <= MaxControlBytes &&
+         Used <= Registry.bytes();
 }
 
 } // namespace
--- a/bench/quota-bench.cc
+++ b/bench/quota-bench.cc
@@ -104,9 +104,12 @@
   return (Sum.Broken_ == 0) == MustHold;
 }
 
-/// Share of the contract that one host can use, in percent, after the settle
-/// time.
-double usedOnOneHost(Division Rule, const QuotaFaults &Faults, bool ByPermits) {
+struct Use {
+  double Percent_ = 0; ///< Of the contract, by one host after the settle time.
+  double MessagesPerSecond_ = 0; ///< Asks and grants of the whole group.
+};
+
+Use usedOnOneHost(Division Rule, const QuotaFaults &Faults, bool ByPermits) {
   constexpr int SettleSteps = 10'000;
   constexpr int Steps = 60'000;
   constexpr double LoadFactor = 3;
@@ -121,15 +124,20 @@
           ? Permits * 1'000.0 / static_cast<double>(toMilliseconds(Service))
           : RatePerSecond;
   std::uint64_t Before = 0;
+  std::uint64_t SentBefore = 0;
   for (int Step = 0; Step < SettleSteps + Steps; ++Step) {
     Model.step();
-    if (Step == SettleSteps)
+    if (Step == SettleSteps) {
       Before = Model.admitted();
+      SentBefore = Model.messages();
+    }
     if (static_cast<double>(Random.below(1'000)) < LoadFactor * Limit)
       Model.offer(0, Service);
   }
-  return static_cast<double>(Model.admitted() - Before) * 100 /
-         (Limit * Steps / 1'000);
+  constexpr double Seconds = Steps / 1'000.0;
+  return {static_cast<double>(Model.admitted() - Before) * 100 /
+              (Limit * Seconds),
+          static_cast<double>(Model.messages() - SentBefore) / Seconds};
 }
 
 bool reportUse() {
@@ -140,17 +148,18 @@
   bool Ok = true;
   for (const bool ByPermits : {false, true}) {
     const char *const Kind = ByPermits ? "in progress" : "rate";
-    const double Shared = usedOnOneHost(Division::Shared, None, ByPermits);
+    const Use Shared = usedOnOneHost(Division::Shared, None, ByPermits);
     std::printf(
-        "use on one host, %-11s shared %.1f%% (target %.0f%%)  with 5%% "
+        "use on one host, %-11s shared %.1f%% (target %.0f%%, %.0f "
+        "messages/s)  with 5%% "
         "loss, duplicates and delays %.1f%%  with partitions %.1f%%  "
         "equal shares %.1f%%  full limit each %.1f%%\n",
-        Kind, Shared, TargetPercent,
-        usedOnOneHost(Division::Shared, Lossy, ByPermits),
-        usedOnOneHost(Division::Shared, Partitions, ByPermits),
-        usedOnOneHost(Division::EqualShares, None, ByPermits),
-        usedOnOneHost(Division::FullLimitEach, None, ByPermits));
-    Ok = Ok && Shared >= TargetPercent;
+        Kind, Shared.Percent_, TargetPercent, Shared.MessagesPerSecond_,
+        usedOnOneHost(Division::Shared, Lossy, ByPermits).Percent_,
+        usedOnOneHost(Division::Shared, Partitions, ByPermits).Percent_,
+        usedOnOneHost(Division::EqualShares, None, ByPermits).Percent_,
+        usedOnOneHost(Division::FullLimitEach, None, ByPermits).Percent_);
+    Ok = Ok && Shared.Percent_ >= TargetPercent;
   }
   return Ok;
 }
@@ -259,26 +268,27 @@
          Most.Rate_ <= RateBound && Most.InProgress_ <= InProgressBound;
 }
 
-/// Two customers whose requests share each host's workers; 99th percentile of
-/// the first one's time from offer to end, in ms. The second one offers
-/// `Factor` times its rate.
-double sharedHostP99(Division Rule, int Factor) {
+/// Two customers whose requests share each host's workers; adds the first one's
+/// times from offer to end, in ms. The second one offers
+/// `Factor` times its rate, to all hosts or to one only.
+void shareHosts(Division Rule, int Factor, bool OneHost, std::uint64_t Seed,
+                std::vector<std::int64_t> &Latencies) {
   constexpr std::size_t Hosts = 3;
   constexpr std::size_t Workers = 3;
   constexpr int Steps = 120'000;
   constexpr int SettleSteps = 10'000;
-  QuotaModel First(Rule, Hosts, terms(), {}, 1);
-  QuotaModel Second(Rule, Hosts, terms(), {}, 2);
-  SeededRandom Random(3);
-  SeededRandom OtherRandom(4);
+  QuotaModel First(Rule, Hosts, terms(), {}, Seed);
+  QuotaModel Second(Rule, Hosts, terms(), {}, Seed + 1'000);
+  SeededRandom Random(Seed + 2'000);
+  SeededRandom OtherRandom(Seed + 3'000);
   std::vector<std::vector<std::int64_t>> FreeAt(
       Hosts, std::vector<std::int64_t>(Workers));
-  std::vector<std::int64_t> Latencies;
   const auto Run = [&](QuotaModel &Model, RandomSource &Source, int Load,
                        std::int64_t Step, bool Measured) {
+    const bool Pinned = OneHost && !Measured && &Model == &Second;
     const bool Offers =
         Source.below(1'000) < RatePerSecond * static_cast<std::uint64_t>(Load);
-    const std::size_t To = Source.below(Hosts);
+    const std::size_t To = Pinned ? 0 : Source.below(Hosts);
     const std::int64_t Work = 10 + static_cast<std::int64_t>(Source.below(60));
     if (!Offers)
       return;
@@ -297,23 +307,37 @@
     Run(Second, OtherRandom, Factor, Step, false);
     Run(First, Random, 1, Step, Step > SettleSteps);
   }
+}
+
+double sharedHostP99(Division Rule, int Factor, bool OneHost,
+                     std::uint64_t Seeds) {
+  std::vector<std::int64_t> Latencies;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed)
+    shareHosts(Rule, Factor, OneHost, Seed, Latencies);
   std::sort(Latencies.begin(), Latencies.end());
   return static_cast<double>(Latencies[Latencies.size() * 99 / 100]);
 }
 
-bool reportIsolation() {
+bool reportIsolation(std::uint64_t Seeds) {
   constexpr double MostRatio = 1.1;
-  const double Calm = sharedHostP99(Division::Shared, 1);
-  const double Loaded = sharedHostP99(Division::Shared, 10);
-  const double Full = sharedHostP99(Division::FullLimitEach, 10) /
-                      sharedHostP99(Division::FullLimitEach, 1);
-  const double Equal = sharedHostP99(Division::EqualShares, 10) /
-                       sharedHostP99(Division::EqualShares, 1);
-  std::printf("isolation: p99 %.0f ms, with the other customer at 10 times its "
-              "limit %.0f ms, ratio %.3f (bound %.1f); full limit each %.3f, "
-              "equal shares %.3f\n",
-              Calm, Loaded, Loaded / Calm, MostRatio, Full, Equal);
-  return Loaded <= Calm * MostRatio;
+  bool Ok = true;
+  for (const bool OneHost : {false, true}) {
+    const auto Ratio = [OneHost, Seeds](Division Rule) {
+      return sharedHostP99(Rule, 10, OneHost, Seeds) /
+             sharedHostP99(Rule, 1, OneHost, Seeds);
+    };
+    const double Shared = Ratio(Division::Shared);
+    std::printf("isolation, other customer at %s: p99 %.0f ms, with it at 10 "
+                "times its limit %.0f ms, ratio %.3f (bound %.1f); full limit "
+                "each %.3f, equal shares %.3f\n",
+                OneHost ? "one host" : "all hosts",
+                sharedHostP99(Division::Shared, 1, OneHost, Seeds),
+                sharedHostP99(Division::Shared, 10, OneHost, Seeds), Shared,
+                MostRatio, Ratio(Division::FullLimitEach),
+                Ratio(Division::EqualShares));
+    Ok = Ok && Shared <= MostRatio;
+  }
+  return Ok;
 }
 
 } // namespace
@@ -334,7 +358,7 @@
        Ok;
   Ok = reportMembership(Short ? 10 : 100) && Ok;
   Ok = reportUse() && Ok;
-  Ok = reportIsolation() && Ok;
+  Ok = reportIsolation(Short ? 5 : 40) && Ok;
   std::printf("quota: %s\n", Ok ? "ok" : "BROKEN");
   return Ok ? 0 : 1;
 }
