Keep the floor also after departures; ready only with permits

Cause: the share ceil(F*s/N) counted slots at departed targets. Two hosts, four targets of one slot, floor 2: after two departures and one ejection 1 slot was usable where 2 serve. The share is now the host's part of the floor among the slots that serve, or all of them when no more than the floor serves. Ruled out: permits passed between hosts, since the side without one cannot react.

HostCore follows the monitor's order: no evaluation while a fault of the host is suspected. Readiness needs permits of the quota, which a new incarnation gets later than its slots.

--- a/bench/detection-model.h
+++ b/bench/detection-model.h
@@ -278,6 +278,7 @@
     for (std::size_t T = 0; T < Of.Targets_; ++T) {
       Entry.Targets_.push_back({});
       Entry.Targets_.back().Id_ = idOf(T);
+      Entry.Targets_.back().Slots_ = Of.Slots_;
       Entry.Targets_.back().State_ = Targets_[Service][T].State_;
     }
     for (HostModel &Each : Hosts_) {
--- a/include/kumquatpitch/ejection-floor.h
+++ b/include/kumquatpitch/ejection-floor.h
@@ -19,6 +19,7 @@
   bool Serving_ = false;       ///< False when starting, leaving or draining.
   bool Ejected_ = false;
   double Score_ = 0; ///< Suspicion; the smallest is reinstated first.
+  std::uint32_t TotalSlots_ = 0; ///< Slots of all hosts together.
 
   bool operator==(const FloorTarget &) const = default;
 };
@@ -26,8 +27,15 @@
 /// All targets of the service's entry, those without own slots included.
 using FloorSnapshot = std::vector<FloorTarget>;
 
-/// The host's share of a floor of `FloorTargets` targets, in slots: the floor
-/// times the host's slots by the count of targets, rounded up.
+/// The host's share of a floor of `FloorTargets` targets, in slots: its part of
+/// the floor among the slots that serve, rounded up, or all its serving slots
+/// when no more than the floor serves.
+///
+/// Each host keeps its share usable in its own view at all times. Shares of
+/// hosts with equal views add up to the floor at least, so while views are
+/// current ejections never take the service under its floor, nor under what
+/// serves if that is less. A host that has not heard of a departure may miss
+/// its share by its slots there, until it hears.
 std::uint64_t floorShare(std::uint32_t FloorTargets,
                          const FloorSnapshot &Targets);
 
--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -115,6 +115,8 @@
                        TimePoint Now);
   CoreActions onQuotaAsk(const HostId &From, const QuotaAskMessage &Message,
                          TimePoint Now);
+  void evaluateService(ServiceRuntime &Service, CoreActions &Actions,
+                       TimePoint Now);
   PeerStatus peerStatus(const HostId &Peer, TimePoint Now) const;
   FlowStep refuseEarly(ResultCode Code, const std::string &Message);
   CoreActions dispatch(const PeerMessage &Message, TimePoint Now);
--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -49,8 +49,8 @@
   /// True when this host is in the service's group.
   bool isAssigned() const { return IsAssigned_; }
 
-  /// True when this host has slots that it may use now.
-  bool hasSlots() const;
+  /// True when this host has slots and permits that it may use now.
+  bool isServing(TimePoint Now);
 
   /// A target that may get an attempt now, or none.
   std::optional<TargetId> pick(const std::vector<TargetId> &Excluded,
@@ -69,8 +69,12 @@
   /// Takes a peer's word that a target drains.
   void markDraining(const TargetId &Target, TimePoint Now);
 
-  /// Makes slots usable that fell due, and decides on ejections.
-  std::vector<HealthChange> tick(TimePoint Now);
+  /// Makes slots usable that fell due.
+  void applyDueSlots(TimePoint Now);
+
+  /// Decides on ejections and reinstatements. Not to be called while a fault of
+  /// this host is suspected.
+  std::vector<HealthChange> evaluate(TimePoint Now);
 
   TargetHealth &health() { return Health_; }
   AdmissionQueue &queue() { return Queue_; }
--- a/include/kumquatpitch/target-health.h
+++ b/include/kumquatpitch/target-health.h
@@ -101,6 +101,7 @@
 private:
   struct State {
     std::uint32_t OwnSlots_ = 0;
+    std::uint32_t TotalSlots_ = 0;
     TargetState Listed_ = TargetState::Serving;
     bool Draining_ = false;
     std::optional<TimePoint> EjectedAt_; ///< Empty when not ejected.
--- a/src/ejection-floor.cc
+++ b/src/ejection-floor.cc
@@ -6,15 +6,26 @@
 
 namespace kumquatpitch {
 
+static std::uint64_t roundedUp(std::uint64_t Dividend, std::uint64_t Divisor) {
+  return (Dividend + Divisor - 1) / Divisor;
+}
+
 std::uint64_t floorShare(std::uint32_t FloorTargets,
                          const FloorSnapshot &Targets) {
   if (Targets.empty())
     return 0;
-  std::uint64_t OwnSlots = 0;
-  for (const FloorTarget &Each : Targets)
-    OwnSlots += Each.OwnSlots_;
-  const std::uint64_t Count = Targets.size();
-  return (FloorTargets * OwnSlots + Count - 1) / Count;
+  std::uint64_t Total = 0;
+  std::uint64_t Serving = 0;
+  std::uint64_t OwnServing = 0;
+  for (const FloorTarget &Each : Targets) {
+    Total += Each.TotalSlots_;
+    Serving += Each.Serving_ ? Each.TotalSlots_ : 0;
+    OwnServing += Each.Serving_ ? Each.OwnSlots_ : 0;
+  }
+  const std::uint64_t Floor = roundedUp(FloorTargets * Total, Targets.size());
+  if (Serving <= Floor)
+    return OwnServing;
+  return roundedUp(Floor * OwnServing, Serving);
 }
 
 std::uint64_t usableSlots(const FloorSnapshot &Targets) {
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -66,9 +66,9 @@
   if (IsLeaving_ || !Sync_.isReady(Now) || Sync_.catalog()->Version_ == 0)
     return false;
   return std::none_of(Services_.begin(), Services_.end(),
-                      [](const ServiceMap::value_type &Each) {
+                      [Now](const ServiceMap::value_type &Each) {
                         return Each.second->isAssigned() &&
-                               !Each.second->hasSlots();
+                               !Each.second->isServing(Now);
                       });
 }
 
@@ -175,6 +175,18 @@
   return Actions;
 }
 
+void HostCore::evaluateService(ServiceRuntime &Service, CoreActions &Actions,
+                               TimePoint Now) {
+  const ServiceName &Name = Service.entry().Service_;
+  for (const HealthChange &Change : Service.evaluate(Now)) {
+    if (Change.Kind_ != HealthChangeKind::Suspected)
+      Log_.log(LogLevel::Info, "detector", describeChange(Name, Change));
+    append(Actions, Flow_.onHealthChange(Service, Change));
+  }
+  for (const TargetId &Suspect : Service.health().suspects())
+    Faults_.targetTurnedBad(Name, Suspect, Now);
+}
+
 void HostCore::tickConfig(CoreActions &Actions, TimePoint Now) {
   if (Now < NextConfigTick_)
     return;
@@ -258,16 +270,11 @@
     Log_.log(LogLevel::Warning, "detector", describeFault(*Fault));
   IsFaultLogged_ = Fault.has_value();
   for (const ServiceMap::value_type &Each : Services_) {
+    Each.second->applyDueSlots(Now);
     if (Fault)
       Each.second->health().clearEvidence(Now);
-    for (const HealthChange &Change : Each.second->tick(Now)) {
-      if (Change.Kind_ == HealthChangeKind::Suspected)
-        Faults_.targetTurnedBad(Each.first, Change.Target_, Now);
-      else
-        Log_.log(LogLevel::Info, "detector",
-                 describeChange(Each.first, Change));
-      append(Actions, Flow_.onHealthChange(*Each.second, Change));
-    }
+    else
+      evaluateService(*Each.second, Actions, Now);
     append(Actions, Flow_.serveQueue(*Each.second, Now));
     askForQuota(*Each.second, Now);
   }
--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -96,8 +96,9 @@
   Queue_.setTerms(queueShare(terms().Queue_, Config_.Group_), Slots);
 }
 
-bool ServiceRuntime::hasSlots() const {
-  return std::any_of(Usable_.begin(), Usable_.end(),
+bool ServiceRuntime::isServing(TimePoint Now) {
+  return Quota_.usablePermits(Now) > 0 &&
+         std::any_of(Usable_.begin(), Usable_.end(),
                      [](const SlotShares::value_type &Each) {
                        return Each.second.Slots_ > 0;
                      });
@@ -133,9 +134,12 @@
         Condition{TargetCondition::Draining, "drain marker", {}, Now};
 }
 
-std::vector<HealthChange> ServiceRuntime::tick(TimePoint Now) {
+void ServiceRuntime::applyDueSlots(TimePoint Now) {
   if (Slots_.usable(Now) != Usable_)
     applySlots(Now);
+}
+
+std::vector<HealthChange> ServiceRuntime::evaluate(TimePoint Now) {
   std::vector<HealthChange> Changes = Health_.evaluate(Now);
   for (const HealthChange &Change : Changes)
     noteCondition(Change, Now);
--- a/src/target-health.cc
+++ b/src/target-health.cc
@@ -30,6 +30,7 @@
     const std::map<TargetId, std::uint32_t>::const_iterator Slots =
         OwnSlots.find(Each.Id_);
     New.OwnSlots_ = Slots == OwnSlots.end() ? 0 : Slots->second;
+    New.TotalSlots_ = Each.Slots_;
     New.Listed_ = Each.State_;
     New.Draining_ = New.Draining_ && Each.State_ != TargetState::Starting;
     if (!IsFirst && !WasServing && New.isServing())
@@ -232,9 +233,10 @@
 FloorSnapshot TargetHealth::floorSnapshot() const {
   FloorSnapshot Snapshot;
   for (const std::pair<const TargetId, State> &Each : States_)
-    Snapshot.push_back(
-        {Each.first, Each.second.OwnSlots_, Each.second.isServing(),
-         Each.second.EjectedAt_.has_value(), Each.second.Score_});
+    Snapshot.push_back({Each.first, Each.second.OwnSlots_,
+                        Each.second.isServing(),
+                        Each.second.EjectedAt_.has_value(), Each.second.Score_,
+                        Each.second.TotalSlots_});
   return Snapshot;
 }
 
--- a/test/target-health-test.cc
+++ b/test/target-health-test.cc
@@ -24,6 +24,7 @@
     for (const char *Name : {"a", "b", "c", "d"}) {
       Entry_.Targets_.push_back({});
       Entry_.Targets_.back().Id_ = TargetId(Name);
+      Entry_.Targets_.back().Slots_ = 1;
       Slots_[TargetId(Name)] = 1;
     }
     Health_.setEntry(Entry_, Slots_, atMs(0));
--- a/test/test-fleet.cc
+++ b/test/test-fleet.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <stdexcept>
 
@@ -79,6 +80,9 @@
   Hosts_.clear();
   Backends_.clear();
   Platform_.reset();
+  // For looking into a failed test: keeps settings, documents and logs.
+  if (std::getenv("KUMQUATPITCH_KEEP_FILES"))
+    return;
   std::error_code Ignored;
   std::filesystem::remove_all(Directory_, Ignored);
 }
