--- a/include/kumquatpitch/config-sync.h
+++ b/include/kumquatpitch/config-sync.h
@@ -194,7 +194,8 @@
   DigestMessage digest(bool IsReply, TimePoint Now);
   void sendDigest(const PeerContact &Peer, bool IsReply, ConfigActions &Out,
                   TimePoint Now);
-  void announce(ConfigActions &Out, TimePoint Now);
+  void announce(std::size_t Peers, ConfigActions &Out, TimePoint Now);
+  void announceManifest(ConfigActions &Out, TimePoint Now);
 
   // State changes.
   void manifestChanged(const HostId &From, bool FromPlatform,
--- a/src/config-sync-peers.cc
+++ b/src/config-sync-peers.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t PushPeers = 4;
 constexpr std::size_t UnlistedInDigest = 3;
 constexpr Duration PullTimeout = std::chrono::milliseconds(500);
 /// A whole table takes longer on the way than a difference.
@@ -22,8 +21,12 @@
 constexpr std::size_t MaxWaitingDocuments = 256;
 constexpr std::size_t MaxWaitingPeers = 64;
 
+/// The first tries follow each other quickly, since one may meet a host that is
+/// gone or a lost message; later ones spare a peer that has nothing to give.
 Duration fetchDelay(unsigned Attempts) {
-  const double Factor = std::pow(FetchDelayGrowth, Attempts);
+  if (Attempts < MaxQuickFetches)
+    return FirstFetchDelay;
+  const double Factor = std::pow(FetchDelayGrowth, Attempts - MaxQuickFetches);
   return Factor * FirstFetchDelay >= MostFetchDelay
              ? MostFetchDelay
              : std::chrono::duration_cast<Duration>(Factor * FirstFetchDelay);
@@ -49,9 +52,9 @@
   Out.Sends_.push_back(PeerSend{Peer.Id_, Peer.Address_, digest(IsReply, Now)});
 }
 
-void ConfigSync::announce(ConfigActions &Out, TimePoint Now) {
-  AnnounceBy_.reset();
-  for (std::size_t Count = 0; Count < PushPeers; ++Count)
+void ConfigSync::announce(std::size_t Peers, ConfigActions &Out,
+                          TimePoint Now) {
+  for (std::size_t Count = 0; Count < Peers; ++Count)
     if (const std::optional<PeerContact> Peer = Directory_.random(*Random_))
       sendDigest(*Peer, false, Out, Now);
 }
--- a/src/config-sync.cc
+++ b/src/config-sync.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration DigestPeriod = std::chrono::seconds(1);
+constexpr std::size_t PushPeers = 4;
+constexpr std::size_t HostsPushPeers = 1;
 constexpr Duration AnnounceDelay = std::chrono::milliseconds(300);
 constexpr Duration WatchWait = std::chrono::seconds(30);
 constexpr Duration LeastBackoff = std::chrono::seconds(1);
@@ -126,7 +128,7 @@
   fetchMissing(Out, Now);
   if (AnnounceBy_ && ((Documents_.missing().empty() && Reading_.empty()) ||
                       Now >= *AnnounceBy_))
-    announce(Out, Now);
+    announceManifest(Out, Now);
   checkReady(Out, Now);
   return Out;
 }
@@ -354,7 +356,7 @@
     return;
   rebuild(Out);
   if (AnnounceBy_ && Documents_.missing().empty() && Reading_.empty())
-    announce(Out, Now);
+    announceManifest(Out, Now);
 }
 
 void ConfigSync::manifestChanged(const HostId &From, bool FromPlatform,
@@ -377,14 +379,21 @@
       Fetches_[Each.first] = Fetch{0, Now, From};
   fetchMissing(Out, Now);
   if (Documents_.missing().empty() && Reading_.empty())
-    announce(Out, Now);
+    announceManifest(Out, Now);
+}
+
+void ConfigSync::announceManifest(ConfigActions &Out, TimePoint Now) {
+  AnnounceBy_.reset();
+  announce(PushPeers, Out, Now);
 }
 
 void ConfigSync::hostsChanged(ConfigActions &Out, TimePoint Now) {
   Directory_.setHosts(Hosts_);
   Rank_.setHosts(Hosts_, Now);
   Out.HostsChanged_ = true;
-  announce(Out, Now);
+  // A large fleet changes the list every few seconds, so it is told to fewer
+  // peers than a manifest; hosts that join wait for it.
+  announce(IsReady_ ? HostsPushPeers : PushPeers, Out, Now);
 }
 
 } // namespace kumquatpitch
