--- a/test/stop-process-test.cc
+++ b/test/stop-process-test.cc
@@ -4,6 +4,8 @@
 
 #include <atomic>
 #include <csignal>
+#include <map>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -32,7 +34,21 @@
   int refused() const { return Refused_; }
   int moved() const { return Moved_; }
 
+  /// Codes and messages of refusals, for the report of a failure.
+  std::string refusals() {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    std::string Text;
+    for (const std::pair<const std::string, int> &Each : Refusals_)
+      Text += std::to_string(Each.second) + " of " + Each.first;
+    return Text;
+  }
+
 private:
+  void noteRefusal(const CallerAnswer &Got) {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    ++Refusals_[Got.Body_];
+  }
+
   void call(TestFleet &Fleet, int Caller) {
     std::vector<AddressedHost> Hosts;
     for (int Count = 0; !IsDone_; ++Count) {
@@ -59,11 +75,15 @@
         continue;
       }
       ++(Got.Status_ == 200 ? Answered_ : Refused_);
+      if (Got.Status_ != 200)
+        noteRefusal(Got);
       return true;
     }
     return false;
   }
 
+  std::mutex Mutex_;
+  std::map<std::string, int> Refusals_;
   std::atomic<bool> IsDone_{false};
   std::atomic<int> Answered_{0};
   std::atomic<int> Cut_{0};
@@ -88,7 +108,7 @@
   Crowd.stop();
   CHECK_EQUAL(0, Crowd.cut());
   CHECK_EQUAL(0, Crowd.moved());
-  CHECK_EQUAL(0, Crowd.refused());
+  CHECK_EQUAL_TEXT(0, Crowd.refused(), Crowd.refusals().c_str());
 }
 
 // Guards against callers who are left without an answer when a host dies.
