Add a fault matrix over whole cores in virtual time

Runs every fault at every step over three or four HostCore objects with a message network, a platform, backend servers and callers that the test owns.

--- /dev/null
+++ b/test/core-fleet.cc
@@ -0,0 +1,567 @@
+// Hosts, links and backend servers of the fault matrix. See core-fleet.h.
+
+#include "core-fleet.h"
+
+#include <algorithm>
+
+namespace kumquatpitch::test {
+
+namespace {
+
+constexpr Duration LinkDelay = std::chrono::milliseconds(1);
+constexpr Duration ConnectDelay = std::chrono::milliseconds(1);
+constexpr Duration ServiceTime = std::chrono::milliseconds(20);
+constexpr Duration PlatformDelay = std::chrono::milliseconds(3);
+constexpr Duration CallerTimeout = std::chrono::milliseconds(2'500);
+constexpr Duration SlowDelay = std::chrono::milliseconds(400);
+constexpr Duration CopyDelay = std::chrono::milliseconds(50);
+constexpr Duration ScatterDelay = std::chrono::seconds(2);
+constexpr int SlowFactor = 20;
+constexpr std::uint16_t PeerPort = 7;
+
+std::size_t indexOf(const TargetId &Id) { return Id.str().at(1) - '0'; }
+
+bool suspects(const std::string &Bytes, const HostId &To) {
+  return handleFailure(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_AUTO(Message, decodePeerMessage(Bytes, To));
+        const ReportMessage *Report =
+            std::get_if<ReportMessage>(&Message.Body_);
+        return Report && Report->Suspects_;
+      },
+      [](const Failure &) { return false; });
+}
+
+} // namespace
+
+CoreFleet::CoreFleet(std::uint64_t Seed, int RatePerSecond)
+    : Random_(Seed), Rate_(RatePerSecond) {
+  publish(std::nullopt);
+  publish(std::nullopt);
+  ++ListVersion_;
+  Platform_.publishHosts(ListVersion_,
+                         FleetDocuments::hosts(ListVersion_, States_));
+}
+
+void CoreFleet::startHost(std::size_t I) {
+  FleetHost &Of = Hosts_[I];
+  ++Of.Life_;
+  Of.IsPaused_ = false;
+  Of.Held_.clear();
+  Of.Version_ = 0;
+  Of.Kept_.fill(false);
+  Of.Silent_.fill(false);
+  Of.Random_ = std::make_unique<SeededRandom>(Random_.next());
+  Of.Transport_ = std::make_unique<Link>(*this, I);
+  Of.Log_ = std::make_unique<StepLogger>(*this, I);
+  HostIdentity Self{
+      HostId("h" + std::to_string(I)),
+      Region("kigali"),
+      FailureDomain(FleetDocuments::domain(I)),
+      NextIncarnation_++,
+      Endpoint{addressOf(I), PeerPort},
+      {Endpoint{addressOf(0), PeerPort}, Endpoint{addressOf(1), PeerPort}},
+      {CustomerName("imigongo")}};
+  Of.Core_ = std::make_unique<HostCore>(
+      std::move(Self), HostServices{*Of.Random_, *Of.Log_, *Of.Transport_},
+      local(I));
+  Of.ReachableSince_ = now();
+  Of.GroupSince_ = now();
+  Of.Group_.clear();
+  post(I, TickPeriod, [this, I] { tick(I); });
+}
+
+void CoreFleet::killHost(std::size_t I) {
+  FleetHost &Of = Hosts_[I];
+  ++Of.Life_;
+  Of.Core_.reset();
+  Of.IsPaused_ = false;
+  Of.Held_.clear();
+  Of.Attempts_.clear();
+  Of.IsSettled_ = false;
+  std::map<FlowId, Flow> Open;
+  Open.swap(Of.Flows_);
+  for (const std::pair<const FlowId, Flow> &Each : Open)
+    Events_.after(LinkDelay,
+                  [this, Sent = Each.second.Send_] { endSend(Sent, {}); });
+}
+
+void CoreFleet::pauseHost(std::size_t I) { Hosts_[I].IsPaused_ = true; }
+
+/// What waited is handled in order of arrival; timers are among it.
+void CoreFleet::wakeHost(std::size_t I) {
+  FleetHost &Of = Hosts_[I];
+  Of.IsPaused_ = false;
+  Of.ReachableSince_ = now();
+  std::vector<std::function<void()>> Held;
+  Held.swap(Of.Held_);
+  const unsigned Life = Of.Life_;
+  for (const std::function<void()> &Each : Held)
+    enter(I, Life, Each);
+}
+
+void CoreFleet::jumpClock(std::size_t I, Duration Span) {
+  Hosts_[I].ClockOffset_ += Span;
+}
+
+void CoreFleet::beginStop(std::size_t I) {
+  post(I, Duration(0), [this, I] { Hosts_[I].Core_->beginStop(local(I)); });
+}
+
+void CoreFleet::listHost(std::size_t I, const std::string &State) {
+  States_[I] = State;
+  ++ListVersion_;
+  Platform_.publishHosts(ListVersion_,
+                         FleetDocuments::hosts(ListVersion_, States_));
+}
+
+void CoreFleet::publish(std::optional<std::size_t> Leaving) {
+  ++ConfigVersion_;
+  const std::map<std::string, std::string> Documents = {
+      {"contract/imigongo", FleetDocuments::contract(Rate_)},
+      {"service/ledger", FleetDocuments::service(ConfigVersion_, Leaving)}};
+  Manifest Table{ConfigVersion_, {}};
+  for (const std::pair<const std::string, std::string> &Each : Documents)
+    Table.Parts_.push_back({Each.first, ConfigVersion_,
+                            contentHash(Each.second), Each.second.size()});
+  Platform_.publish(Table, Documents);
+  PublishedLeaving_ = Leaving;
+  if (Leaving && !Backends_[*Leaving].LeavingSign_)
+    Backends_[*Leaving].LeavingSign_ = now();
+}
+
+void CoreFleet::setPlatform(PlatformMode Mode) {
+  Platform_.setMode(Mode);
+  if (!PublishedLeaving_ || IsLeavingRead_)
+    return;
+  // A sign that no host can have read counts from when it can be read.
+  std::optional<TimePoint> &Sign = Backends_[*PublishedLeaving_].LeavingSign_;
+  Sign.reset();
+  if (Mode == PlatformMode::Normal)
+    Sign = now();
+}
+
+void CoreFleet::silenceKept(std::size_t I, std::size_t Target) {
+  Hosts_[I].Silent_[Target] = Hosts_[I].Kept_[Target];
+}
+
+void CoreFleet::releaseStuck(std::size_t Target) {
+  std::vector<std::function<void()>> Stuck;
+  Stuck.swap(Backends_[Target].Stuck_);
+  for (const std::function<void()> &Each : Stuck)
+    Events_.after(Duration(0), Each);
+}
+
+bool CoreFleet::isReady(std::size_t I) const {
+  return isUp(I) && Hosts_[I].Core_->isReady(local(I));
+}
+
+std::optional<AddressAnswer> CoreFleet::addresses(std::size_t I) {
+  FleetHost &Of = Hosts_[I];
+  if (!Of.Core_ || Of.IsPaused_)
+    return std::nullopt;
+  return handleFailure(
+      [&]() -> Result<std::optional<AddressAnswer>> {
+        BOOST_LEAF_AUTO(Answer,
+                        Of.Core_->addresses(CustomerName("imigongo"),
+                                            ServiceName("ledger"), local(I)));
+        return std::optional<AddressAnswer>(std::move(Answer));
+      },
+      [](const Failure &) { return std::optional<AddressAnswer>(); });
+}
+
+void CoreFleet::post(std::size_t I, Duration Delay, std::function<void()> Run) {
+  Events_.after(Delay, [this, I, Life = Hosts_[I].Life_, Run = std::move(Run)] {
+    enter(I, Life, Run);
+  });
+}
+
+void CoreFleet::enter(std::size_t I, unsigned Life,
+                      const std::function<void()> &Run) {
+  FleetHost &Of = Hosts_[I];
+  if (Of.Life_ != Life || !Of.Core_)
+    return;
+  if (Of.IsPaused_) {
+    Of.Held_.push_back(Run);
+    return;
+  }
+  Run();
+  check(I);
+}
+
+void CoreFleet::tick(std::size_t I) {
+  carryOut(I, Hosts_[I].Core_->tick(local(I)));
+  if (Hosts_[I].Core_->mayStop(local(I))) {
+    checkStop(I);
+    Hosts_[I].IsStopped_ = true;
+    killHost(I);
+    return;
+  }
+  post(I, TickPeriod, [this, I] { tick(I); });
+}
+
+void CoreFleet::checkStop(std::size_t I) {
+  for (const std::pair<const FlowId, Flow> &Each : Hosts_[I].Flows_)
+    Ledger_.violate(now(), 6,
+                    "h" + std::to_string(I) + " stops with request " +
+                        std::to_string(Each.second.Send_->Key_.Request_));
+}
+
+void CoreFleet::carryOut(std::size_t I, const CoreActions &Actions) {
+  for (const CoreAction &Action : Actions) {
+    if (const FlowStep *Next = std::get_if<FlowStep>(&Action)) {
+      take(I, *Next);
+    } else if (const CancelAttempt *End = std::get_if<CancelAttempt>(&Action)) {
+      const std::map<AttemptId, AttemptPtr>::iterator At =
+          Hosts_[I].Attempts_.find(End->Attempt_);
+      if (At == Hosts_[I].Attempts_.end())
+        continue;
+      post(I, Duration(0), [this, Of = At->second, Reason = End->Reason_] {
+        AttemptReport Report;
+        Report.End_ = Of->IsWritten_ ? Reason : AttemptEnd::NotWritten;
+        endAttempt(Of, Report, {});
+      });
+    } else if (const CloseConnections *Close =
+                   std::get_if<CloseConnections>(&Action)) {
+      const std::size_t Target = Close->Address_.Address_.back() - '1';
+      Hosts_[I].Kept_[Target] = false;
+      Hosts_[I].Silent_[Target] = false;
+    } else if (const PlatformCall *Call = std::get_if<PlatformCall>(&Action)) {
+      Events_.after(PlatformDelay,
+                    [this, I, Asked = *Call, Life = Hosts_[I].Life_,
+                     GiveUp = now() + Call->Wait_] {
+                      if (Hosts_[I].Life_ == Life)
+                        callPlatform(I, Asked, GiveUp);
+                    });
+    }
+  }
+}
+
+void CoreFleet::callPlatform(std::size_t I, const PlatformCall &Call,
+                             TimePoint GiveUp) {
+  constexpr Duration WatchStep = std::chrono::milliseconds(5);
+  std::optional<PlatformReply> Reply;
+  if (!Call.IsWatch_)
+    Reply = Platform_.read(Call.Key_);
+  else
+    Reply = Platform_.watch(Call.Key_, Call.After_);
+  if (!Reply && now() < GiveUp) {
+    Events_.after(WatchStep, [this, I, Call, GiveUp, Life = Hosts_[I].Life_] {
+      if (Hosts_[I].Life_ == Life)
+        callPlatform(I, Call, GiveUp);
+    });
+    return;
+  }
+  if (!Reply)
+    Reply = PlatformReply{Call.Key_, PlatformStatus::Unchanged, 0, "", 0};
+  const bool IsNewManifest =
+      Call.Key_ == "manifest" && Reply->Status_ == PlatformStatus::Value &&
+      Reply->Version_ == ConfigVersion_ && ConfigVersion_ > 2;
+  if (IsNewManifest) {
+    IsLeavingRead_ = PublishedLeaving_.has_value();
+    reach(Step::ConfigRead, I, 0);
+  }
+  post(I, PlatformDelay, [this, I, Got = *Reply] {
+    carryOut(I, Hosts_[I].Core_->onPlatformReply(Got, local(I)));
+  });
+}
+
+Duration CoreFleet::peerDelay(const LinkFaults &Faults) {
+  Duration Delay = LinkDelay;
+  if (Faults.Slow_)
+    Delay += SlowDelay;
+  if (Faults.Scatters_)
+    Delay += Duration(Random_.below(ScatterDelay.count()));
+  return Delay;
+}
+
+void CoreFleet::sendPeer(std::size_t From, const Endpoint &To,
+                         std::string Message) {
+  std::size_t I = To.Address_.back() - '1';
+  const LinkFaults &Out = Hosts_[From].Link_;
+  const bool IsGrant = Message.find("quota-grant") != std::string::npos;
+  if (IsGrant)
+    reach(Step::QuotaGranted, From, 0);
+  else if (Message.find("quota-ask") != std::string::npos)
+    reach(Step::QuotaAsked, From, 0);
+  else if (Message.find("report") != std::string::npos &&
+           suspects(Message, HostId("h" + std::to_string(I))))
+    reach(Step::Suspected, From, 0);
+  if (I >= MaxHosts || Out.LosesOut_ || Hosts_[I].Link_.LosesIn_)
+    return;
+  if (Out.Crosses_)
+    I = (I + 1) % MaxHosts;
+  if (Out.Cuts_)
+    Message.resize(Message.size() / 2);
+  const auto Deliver = [this, I, From, Message, IsGrant] {
+    carryOut(I,
+             Hosts_[I].Core_->receivePeer(Message, addressOf(From), local(I)));
+    if (IsGrant)
+      reach(Step::QuotaCredited, I, 0);
+  };
+  const Duration Delay = std::max(peerDelay(Out), peerDelay(Hosts_[I].Link_));
+  post(I, Delay, Deliver);
+  if (Out.Duplicates_)
+    post(I, Delay + CopyDelay, Deliver);
+}
+
+void CoreFleet::send(const SendPtr &Sent) {
+  const std::size_t I = Sent->Host_;
+  Events_.after(CallerTimeout, [this, Sent, I, Life = Hosts_[I].Life_] {
+    if (Sent->IsEnded_)
+      return;
+    if (Sent->Flow_ != 0)
+      Events_.after(LinkDelay, [this, Sent, I, Life] {
+        enter(I, Life, [this, Sent, I] {
+          carryOut(I, Hosts_[I].Core_->abandon(Sent->Flow_, local(I)));
+        });
+      });
+    endSend(Sent, {});
+  });
+  if (!isUp(I)) {
+    Events_.after(LinkDelay, [this, Sent] { endSend(Sent, {}); });
+    return;
+  }
+  reach(Step::BeforeAdmission, I, 0);
+  post(I, LinkDelay, [this, I, Sent] { admit(I, Sent); });
+  const LinkFaults &Faults = Hosts_[I].Link_;
+  if (!Faults.Duplicates_ && !Faults.Scatters_)
+    return;
+  // A copy of the request arrives later; nobody reads what it is answered.
+  const SendPtr Copy = std::make_shared<FleetSend>(*Sent);
+  Copy->OnEnd_ = [](const SendEnd &) {};
+  post(I, LinkDelay + (Faults.Scatters_ ? ScatterDelay : CopyDelay),
+       [this, I, Copy] { admit(I, Copy); });
+}
+
+void CoreFleet::admit(std::size_t I, const SendPtr &Sent) {
+  CallerRequest Request;
+  Request.Customer_ = CustomerName("imigongo");
+  Request.Method_ = Sent->Token_.empty() ? "GET" : "POST";
+  Request.Target_ = "/deposits";
+  Request.Token_ = Sent->Token_;
+  if (!Sent->Token_.empty())
+    Request.RequestId_ = "r" + std::to_string(Sent->Key_.Request_);
+  Request.Resend_ = Sent->Key_.Resend_;
+  const FlowStep First = Hosts_[I].Core_->admit(Request, local(I));
+  Sent->Flow_ = First.Flow_;
+  if (First.Flow_ == 0) {
+    respond(I, Sent, SendEnd{true, std::get<RequestRefusal>(First.Step_), {}});
+    return;
+  }
+  Hosts_[I].Flows_[First.Flow_] = Flow{Sent, {}};
+  take(I, First);
+}
+
+void CoreFleet::take(std::size_t I, const FlowStep &Next) {
+  FleetHost &Of = Hosts_[I];
+  const std::map<FlowId, Flow>::iterator At = Of.Flows_.find(Next.Flow_);
+  if (At == Of.Flows_.end()) {
+    Ledger_.violate(now(), 2, "a step for a request that has its outcome");
+    return;
+  }
+  if (std::holds_alternative<Wait>(Next.Step_)) {
+    reach(Step::Queued, I, 0);
+    return;
+  }
+  if (const AttemptOrder *Order = std::get_if<AttemptOrder>(&Next.Step_)) {
+    startAttempt(I, Next.Flow_, *Order);
+    return;
+  }
+  const Flow Ended = At->second;
+  Of.Flows_.erase(At);
+  SendEnd End{true, std::nullopt, Ended.Answer_};
+  if (const RequestRefusal *Refused = std::get_if<RequestRefusal>(&Next.Step_))
+    End.Refusal_ = *Refused;
+  respond(I, Ended.Send_, End);
+}
+
+void CoreFleet::respond(std::size_t I, const SendPtr &Sent,
+                        const SendEnd &End) {
+  if (Sent->IsReplied_)
+    Ledger_.violate(now(), 2, "a second outcome of one send");
+  Sent->IsReplied_ = true;
+  const bool HasToken = !Sent->Token_.empty();
+  if (!End.Refusal_) {
+    Ledger_.delivered(Sent->Key_.Request_, End.Answer_, now());
+  } else if (End.Refusal_->Outcome_ == Outcome::NotRun) {
+    Ledger_.toldNotRun(Sent->Key_, HasToken, now());
+    Ledger_.toldNotRunOnce(Sent->Key_.Request_, Sent->DidRun_, now());
+  }
+  if (Hosts_[I].Link_.LosesOut_)
+    return;
+  Events_.after(peerDelay(Hosts_[I].Link_),
+                [this, Sent, End] { endSend(Sent, End); });
+}
+
+void CoreFleet::endSend(const SendPtr &Sent, const SendEnd &End) {
+  if (Sent->IsEnded_)
+    return;
+  Sent->IsEnded_ = true;
+  Sent->OnEnd_(End);
+}
+
+void CoreFleet::startAttempt(std::size_t I, FlowId Id,
+                             const AttemptOrder &Order) {
+  FleetHost &Of = Hosts_[I];
+  const AttemptPtr Started = std::make_shared<Attempt>();
+  Started->Order_ = Order;
+  Started->Send_ = Of.Flows_.at(Id).Send_;
+  Started->Host_ = I;
+  Started->Life_ = Of.Life_;
+  Started->Flow_ = Id;
+  Started->Target_ = indexOf(Order.Target_);
+  Started->IsNew_ = Order.FreshConnection_ || !Of.Kept_[Started->Target_];
+  Started->IsSilent_ = !Started->IsNew_ && Of.Silent_[Started->Target_];
+  Of.Attempts_[Order.Id_] = Started;
+  reach(Step::BeforeFirstByte, I, Started->Target_);
+  post(I, Started->IsNew_ ? ConnectDelay : Duration(0),
+       [this, Started] { write(Started); });
+}
+
+void CoreFleet::write(const AttemptPtr &Of) {
+  if (Of->IsEnded_)
+    return;
+  FleetHost &At = Hosts_[Of->Host_];
+  const FleetBackend &Server = Backends_[Of->Target_];
+  const auto Fail = [&](AttemptEnd End) {
+    AttemptReport Report;
+    Report.End_ = End;
+    endAttempt(Of, Report, {});
+  };
+  if (Of->IsNew_ && Server.IsClosed_) {
+    Fail(AttemptEnd::ConnectFailed);
+    return;
+  }
+  if (!At.Core_->mayWrite(Of->Flow_, local(Of->Host_))) {
+    Fail(AttemptEnd::NotWritten);
+    return;
+  }
+  Of->IsWritten_ = true;
+  Of->Written_ = local(Of->Host_);
+  checkLeaving(Of->Host_, Of->Target_);
+  if (Of->IsSilent_ || At.Link_.LosesOut_)
+    return;
+  Events_.after(peerDelay(At.Link_), [this, Of] { arriveAtBackend(Of); });
+}
+
+void CoreFleet::arriveAtBackend(const AttemptPtr &Of) {
+  FleetBackend &Server = Backends_[Of->Target_];
+  if (Server.IsResetting_ || Server.IsClosed_) {
+    post(Of->Host_, LinkDelay, [this, Of] {
+      AttemptReport Report;
+      Report.End_ = AttemptEnd::Broken;
+      endAttempt(Of, Report, {});
+    });
+    return;
+  }
+  if (Server.IsShedding_) {
+    answer(Of, true);
+    return;
+  }
+  Of->Send_->DidRun_ = true;
+  Ledger_.ran(Of->Send_->Key_, !Of->Send_->Token_.empty(), now());
+  reach(Step::InFlight, Of->Host_, Of->Target_);
+  const bool IsLong = Server.IsSlow_ || now() < Server.ColdUntil_;
+  // The injected fault takes effect before the server decides.
+  Events_.after(Duration(0), [this, Of, IsLong] {
+    FleetBackend &At = Backends_[Of->Target_];
+    if (At.IsStalled_)
+      At.Stuck_.push_back([this, Of] { answer(Of, false); });
+    else
+      Events_.after(IsLong ? ServiceTime * SlowFactor : ServiceTime,
+                    [this, Of] { answer(Of, false); });
+  });
+}
+
+void CoreFleet::answer(const AttemptPtr &Of, bool IsRefusal) {
+  if (Backends_[Of->Target_].IsStalled_ && !IsRefusal) {
+    Backends_[Of->Target_].Stuck_.push_back([this, Of] { answer(Of, false); });
+    return;
+  }
+  reach(Step::BeforeDelivery, Of->Host_, Of->Target_);
+  Events_.after(Duration(0), [this, Of, IsRefusal] {
+    sendAnswer(Of, WireAnswer{Of->Order_.WireId_,
+                              FleetAnswer{Of->Send_->Key_.Request_, true},
+                              IsRefusal, Backends_[Of->Target_].IsDraining_});
+  });
+}
+
+void CoreFleet::sendAnswer(const AttemptPtr &Of, WireAnswer Sent) {
+  const LinkFaults &Faults = Hosts_[Of->Host_].Link_;
+  if (Faults.LosesIn_ || Hosts_[Of->Host_].Life_ != Of->Life_)
+    return;
+  if (Backends_[Of->Target_].IsResetting_) {
+    post(Of->Host_, LinkDelay, [this, Of] {
+      AttemptReport Report;
+      Report.End_ = AttemptEnd::Broken;
+      endAttempt(Of, Report, {});
+    });
+    return;
+  }
+  AttemptPtr To = Of;
+  if (Faults.Crosses_)
+    if (const AttemptPtr Other = otherAttempt(Of))
+      To = Other;
+  Sent.Answer_.IsWhole_ = !Faults.Cuts_;
+  const Duration Delay = peerDelay(Faults);
+  post(Of->Host_, Delay, [this, To, Sent] { receiveAnswer(To, Sent); });
+  if (Faults.Duplicates_) {
+    // The second copy meets whatever the connection carries by then.
+    post(Of->Host_, Delay + CopyDelay, [this, Of, Sent] {
+      if (const AttemptPtr Other = otherAttempt(Of))
+        receiveAnswer(Other, Sent);
+    });
+  }
+}
+
+CoreFleet::AttemptPtr CoreFleet::otherAttempt(const AttemptPtr &Than) {
+  for (const std::pair<const AttemptId, AttemptPtr> &Each :
+       Hosts_[Than->Host_].Attempts_)
+    if (Each.second != Than && Each.second->IsWritten_ &&
+        Each.second->Target_ == Than->Target_)
+      return Each.second;
+  return nullptr;
+}
+
+/// Matches the answer as the backend client does.
+void CoreFleet::receiveAnswer(const AttemptPtr &Of, const WireAnswer &Got) {
+  if (Of->IsEnded_)
+    return;
+  AttemptReport Report;
+  Report.Draining_ = Got.IsDraining_;
+  Report.HttpStatus_ = 200;
+  Report.Load_ = 0;
+  if (Got.IsDraining_ && !Backends_[Of->Target_].LeavingSign_)
+    Backends_[Of->Target_].LeavingSign_ = now();
+  if (!Got.Answer_.IsWhole_)
+    Report.End_ = AttemptEnd::Broken;
+  else if (Got.WireId_ != Of->Order_.WireId_)
+    Report.End_ = AttemptEnd::Mismatched;
+  else
+    Report.End_ = Got.IsRefusal_ ? AttemptEnd::Refused : AttemptEnd::Answered;
+  if (!Got.Answer_.IsWhole_)
+    Report.Draining_ = false;
+  endAttempt(Of, Report, Got.Answer_);
+}
+
+void CoreFleet::endAttempt(const AttemptPtr &Of, AttemptReport Report,
+                           const FleetAnswer &Got) {
+  FleetHost &At = Hosts_[Of->Host_];
+  if (Of->IsEnded_)
+    return;
+  Of->IsEnded_ = true;
+  At.Attempts_.erase(Of->Order_.Id_);
+  Report.NewConnection_ = Of->IsNew_;
+  if (Of->IsWritten_)
+    Report.Latency_ = local(Of->Host_) - Of->Written_;
+  if (Report.End_ == AttemptEnd::Answered && !At.Silent_[Of->Target_])
+    At.Kept_[Of->Target_] = true;
+  const std::map<FlowId, Flow>::iterator Owner = At.Flows_.find(Of->Flow_);
+  if (Owner != At.Flows_.end())
+    Owner->second.Answer_ = Got;
+  carryOut(Of->Host_,
+           At.Core_->finishAttempt(Of->Flow_, Report, local(Of->Host_)));
+}
+
+} // namespace kumquatpitch::test
--- /dev/null
+++ b/test/fault-matrix-test.cc
@@ -0,0 +1,445 @@
+// Every fault at every step of a request, of a configuration's way, of joining
+// and leaving, of an ejection and of a quota transfer, over a few whole cores
+// in virtual time. Guards against decisions that are right in each component
+// and break an invariant of docs/design.md, section 2, in combination.
+//
+// FAULT_MATRIX_CELL="SEED STEP FAULT [STEP FAULT]" runs one cell.
+
+#include "core-fleet.h"
+#include "fleet-callers.h"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+namespace {
+
+enum class Fault {
+  HostKill,
+  HostPause,
+  LossOut,
+  LossIn,
+  LossBoth,
+  SilentConnection,
+  Reset,
+  SlowMessages,
+  DuplicateMessages,
+  LateMessages,
+  CrossedMessages,
+  CutMessages,
+  PlatformDown,
+  PlatformStale,
+  PlatformRolledBack,
+  BackendStall,
+  BackendFlap,
+  BackendLie,
+  BackendShed,
+  BackendDrain,
+  BackendCold,
+  ClockJump
+};
+
+const char *const FaultNames[] = {
+    "host-kill",     "host-pause",       "loss-out",
+    "loss-in",       "loss-both",        "silent-connection",
+    "reset",         "slow-messages",    "duplicate-messages",
+    "late-messages", "crossed-messages", "cut-messages",
+    "platform-down", "platform-stale",   "platform-rolled-back",
+    "backend-stall", "backend-flap",     "backend-lie",
+    "backend-shed",  "backend-drain",    "backend-cold-start",
+    "clock-jump"};
+constexpr std::size_t FaultCount = std::size(FaultNames);
+
+const char *const StepNames[] = {
+    "before-admission", "queued",      "before-first-byte", "in-flight",
+    "before-delivery",  "published",   "config-read",       "half-distributed",
+    "joining",          "leaving",     "suspected",         "ejected",
+    "reinstated",       "quota-asked", "quota-granted",     "quota-credited"};
+static_assert(std::size(StepNames) == StepCount);
+
+enum class Area { Request, Config, Joining, Leaving, Health, Quota };
+
+Area areaOf(Step At) {
+  if (At <= Step::BeforeDelivery)
+    return Area::Request;
+  if (At <= Step::HalfDistributed)
+    return Area::Config;
+  if (At == Step::Joining)
+    return Area::Joining;
+  if (At == Step::Leaving)
+    return Area::Leaving;
+  return At <= Step::Reinstated ? Area::Health : Area::Quota;
+}
+
+struct Injection {
+  Step Step_;
+  Fault Fault_;
+};
+
+std::string nameOf(std::uint64_t Seed, const std::vector<Injection> &Cell) {
+  std::string Name = std::to_string(Seed);
+  for (const Injection &Each : Cell)
+    Name += std::string(" ") + StepNames[static_cast<std::size_t>(Each.Step_)] +
+            " " + FaultNames[static_cast<std::size_t>(Each.Fault_)];
+  return Name;
+}
+
+/// How long a fault lasts: longer than the 3 s after which a leaving target
+/// gets no new work.
+constexpr Duration FaultTime = std::chrono::seconds(4);
+
+class MatrixCell {
+public:
+  MatrixCell(std::uint64_t Seed, std::vector<Injection> Wanted)
+      : Wanted_(std::move(Wanted)), Area_(areaOf(Wanted_.front().Step_)),
+        Fleet_(Seed, Area_ == Area::Quota ? 60 : 600), Callers_(Fleet_) {}
+
+  void run() {
+    for (std::size_t I = 0; I < 3; ++I)
+      Fleet_.startHost(I);
+    for (int I = 0; I < 600 && !allReady(); ++I)
+      Fleet_.run(ms(100));
+    IsStarted_ = allReady();
+    if (Area_ == Area::Quota)
+      Callers_.concentrateOn(0);
+    Callers_.start();
+    Fleet_.run(ms(1'000));
+    Fleet_.OnStep_ = [this](Step At, std::size_t Host, std::size_t Target) {
+      reached(At, Host, Target);
+    };
+    startScenario();
+    Fleet_.run(Area_ == Area::Leaving ? ms(28'000) : ms(16'000));
+    Callers_.stop();
+    Fleet_.run(ms(16'000));
+    Fleet_.checkConverged();
+    Fleet_.checkIdle();
+  }
+
+  bool isStarted() const { return IsStarted_; }
+  bool isReached() const { return Next_ == Wanted_.size(); }
+  CoreFleet &fleet() { return Fleet_; }
+
+private:
+  bool allReady() const {
+    return Fleet_.isReady(0) && Fleet_.isReady(1) && Fleet_.isReady(2);
+  }
+
+  void startScenario() {
+    switch (Area_) {
+    case Area::Request:
+      Callers_.burst(0, 16);
+      return;
+    case Area::Config:
+      Fleet_.publish(5);
+      reached(Step::Published, 0, 5);
+      return;
+    case Area::Joining:
+      Fleet_.startHost(3);
+      reached(Step::Joining, 3, 0);
+      Fleet_.events().after(ms(1'000), [this] { Fleet_.listHost(3, "live"); });
+      return;
+    case Area::Leaving:
+      Fleet_.beginStop(1);
+      reached(Step::Leaving, 1, 0);
+      Fleet_.events().after(ms(500), [this] { Fleet_.listHost(1, "leaving"); });
+      return;
+    case Area::Health:
+      Fleet_.backend(2).IsStalled_ = true;
+      Fleet_.events().after(ms(5'000), [this] {
+        Fleet_.backend(2).IsStalled_ = false;
+        Fleet_.releaseStuck(2);
+      });
+      return;
+    case Area::Quota:
+      return;
+    }
+  }
+
+  void reached(Step At, std::size_t Host, std::size_t Target) {
+    if (Next_ == Wanted_.size() || Wanted_[Next_].Step_ != At)
+      return;
+    const Fault Chosen = Wanted_[Next_++].Fault_;
+    Fleet_.events().after(Duration(0), [this, Chosen, Host, Target] {
+      inject(Chosen, Host, Target);
+    });
+    ++Open_;
+    Fleet_.events().after(FaultTime, [this, Chosen, Host, Target] {
+      heal(Chosen, Host, Target);
+      Fleet_.events().after(ms(2'000), [this] {
+        if (--Open_ == 0 && isReached())
+          Fleet_.checkConverged();
+      });
+    });
+  }
+
+  void inject(Fault Chosen, std::size_t Host, std::size_t Target) {
+    LinkFaults &Link = Fleet_.link(Host);
+    FleetBackend &Server = Fleet_.backend(Target);
+    switch (Chosen) {
+    case Fault::HostKill:
+      Fleet_.killHost(Host);
+      Fleet_.events().after(ms(300), [this, Host] {
+        if (!Fleet_.isUp(Host))
+          Fleet_.startHost(Host);
+      });
+      return;
+    case Fault::HostPause:
+      Fleet_.pauseHost(Host);
+      return;
+    case Fault::LossOut:
+    case Fault::LossIn:
+    case Fault::LossBoth:
+      Link.LosesOut_ = Chosen != Fault::LossIn;
+      Link.LosesIn_ = Chosen != Fault::LossOut;
+      return;
+    case Fault::SilentConnection:
+      for (std::size_t I = 0; I < CoreFleet::MaxHosts; ++I)
+        Fleet_.silenceKept(I, Target);
+      return;
+    case Fault::Reset:
+      Server.IsResetting_ = true;
+      return;
+    case Fault::SlowMessages:
+      Link.Slow_ = true;
+      return;
+    case Fault::DuplicateMessages:
+      Link.Duplicates_ = true;
+      return;
+    case Fault::LateMessages:
+      Link.Scatters_ = true;
+      return;
+    case Fault::CrossedMessages:
+      Link.Crosses_ = true;
+      return;
+    case Fault::CutMessages:
+      Link.Cuts_ = true;
+      return;
+    case Fault::PlatformDown:
+      Fleet_.setPlatform(PlatformMode::Down);
+      return;
+    case Fault::PlatformStale:
+      Fleet_.setPlatform(PlatformMode::Stale);
+      return;
+    case Fault::PlatformRolledBack:
+      Fleet_.setPlatform(PlatformMode::RolledBack);
+      return;
+    case Fault::BackendStall:
+      Server.IsStalled_ = true;
+      return;
+    case Fault::BackendFlap:
+      flap(Target, 10);
+      return;
+    case Fault::BackendLie:
+      Server.IsSlow_ = true;
+      return;
+    case Fault::BackendShed:
+      Server.IsShedding_ = true;
+      return;
+    case Fault::BackendDrain:
+      Server.IsDraining_ = true;
+      return;
+    case Fault::BackendCold:
+      Server.IsClosed_ = true;
+      Server.ColdUntil_ = Fleet_.now() + FaultTime;
+      Fleet_.events().after(ms(500), [&Server] { Server.IsClosed_ = false; });
+      return;
+    case Fault::ClockJump:
+      Fleet_.jumpClock(Host, ms(1'500));
+      return;
+    }
+  }
+
+  void flap(std::size_t Target, int Left) {
+    FleetBackend &Server = Fleet_.backend(Target);
+    Server.IsStalled_ = Left % 2 == 0 && Left > 0;
+    if (!Server.IsStalled_)
+      Fleet_.releaseStuck(Target);
+    if (Left > 0)
+      Fleet_.events().after(ms(350),
+                            [this, Target, Left] { flap(Target, Left - 1); });
+  }
+
+  void heal(Fault Chosen, std::size_t Host, std::size_t Target) {
+    FleetBackend &Server = Fleet_.backend(Target);
+    switch (Chosen) {
+    case Fault::HostPause:
+      Fleet_.wakeHost(Host);
+      return;
+    case Fault::LossOut:
+    case Fault::LossIn:
+    case Fault::LossBoth:
+    case Fault::SlowMessages:
+    case Fault::DuplicateMessages:
+    case Fault::LateMessages:
+    case Fault::CrossedMessages:
+    case Fault::CutMessages:
+      Fleet_.link(Host) = LinkFaults();
+      Fleet_.noteReachable(Host);
+      return;
+    case Fault::Reset:
+      Server.IsResetting_ = false;
+      return;
+    case Fault::PlatformDown:
+    case Fault::PlatformStale:
+    case Fault::PlatformRolledBack:
+      Fleet_.setPlatform(PlatformMode::Normal);
+      return;
+    case Fault::BackendStall:
+      Server.IsStalled_ = false;
+      Fleet_.releaseStuck(Target);
+      return;
+    case Fault::BackendLie:
+      Server.IsSlow_ = false;
+      return;
+    case Fault::BackendShed:
+      Server.IsShedding_ = false;
+      return;
+    case Fault::HostKill:
+    case Fault::SilentConnection:
+    case Fault::BackendFlap:
+    case Fault::BackendDrain:
+    case Fault::BackendCold:
+    case Fault::ClockJump:
+      return;
+    }
+  }
+
+  const std::vector<Injection> Wanted_;
+  const Area Area_;
+  CoreFleet Fleet_;
+  FleetCallers Callers_;
+  std::size_t Next_ = 0;
+  int Open_ = 0; ///< Faults whose end is less than 2 s ago.
+  bool IsStarted_ = false;
+};
+
+/// Counts cells and prints what did not pass.
+struct MatrixReport {
+  int Cells_ = 0;
+  int Passed_ = 0;
+  int Failed_ = 0;
+  std::uint64_t Runs_ = 0;
+  std::uint64_t Deliveries_ = 0;
+  std::map<std::string, int> NotApplicable_;
+
+  void run(std::uint64_t Seed, const std::vector<Injection> &Cell) {
+    ++Cells_;
+    MatrixCell Run(Seed, Cell);
+    Run.run();
+    Runs_ += Run.fleet().ledger().runs();
+    Deliveries_ += Run.fleet().ledger().deliveries();
+    std::vector<std::string> Problems = Run.fleet().ledger().violations();
+    if (!Run.isStarted())
+      Problems.push_back("the hosts did not become ready");
+    const bool IsPair = Cell.size() > 1;
+    if (!Run.isReached() && !IsPair)
+      Problems.push_back("the step was not reached");
+    if (Run.fleet().ledger().deliveries() == 0)
+      Problems.push_back("no request was answered");
+    if (!Problems.empty()) {
+      ++Failed_;
+      std::printf("\nFAILED cell \"%s\"\n", nameOf(Seed, Cell).c_str());
+      for (const std::string &Each : Problems)
+        std::printf("  %s\n", Each.c_str());
+      return;
+    }
+    if (!Run.isReached()) {
+      ++NotApplicable_["the first fault kept the second step from happening"];
+      return;
+    }
+    ++Passed_;
+  }
+
+  void finish(const char *Name) {
+    int Skipped = 0;
+    std::printf("\nfault matrix, %s: %d cells, %d passed, %d failed", Name,
+                Cells_, Passed_, Failed_);
+    for (const std::pair<const std::string, int> &Each : NotApplicable_) {
+      Skipped += Each.second;
+      std::printf(", %d not applicable (%s)", Each.second, Each.first.c_str());
+    }
+    std::printf("; %llu runs at backend servers, %llu answers\n",
+                static_cast<unsigned long long>(Runs_),
+                static_cast<unsigned long long>(Deliveries_));
+    LONGS_EQUAL(Cells_, Passed_ + Skipped);
+  }
+};
+
+void runArea(const char *Name, Area Wanted) {
+  if (std::getenv("FAULT_MATRIX_CELL"))
+    return;
+  MatrixReport Report;
+  for (std::size_t S = 0; S < StepCount; ++S)
+    if (areaOf(static_cast<Step>(S)) == Wanted)
+      for (std::size_t F = 0; F < FaultCount; ++F)
+        Report.run(1, {{static_cast<Step>(S), static_cast<Fault>(F)}});
+  Report.finish(Name);
+}
+
+std::size_t find(const char *const *Names, std::size_t Count,
+                 const std::string &Name) {
+  for (std::size_t I = 0; I < Count; ++I)
+    if (Name == Names[I])
+      return I;
+  FAIL(("unknown name: " + Name).c_str());
+  return 0;
+}
+
+} // namespace
+
+TEST_GROUP(FaultMatrix){};
+
+TEST(FaultMatrix, Request) { runArea("request", Area::Request); }
+
+TEST(FaultMatrix, Configuration) { runArea("configuration", Area::Config); }
+
+TEST(FaultMatrix, Joining) { runArea("joining", Area::Joining); }
+
+TEST(FaultMatrix, Leaving) { runArea("leaving", Area::Leaving); }
+
+TEST(FaultMatrix, Health) { runArea("health", Area::Health); }
+
+TEST(FaultMatrix, Quota) { runArea("quota", Area::Quota); }
+
+TEST(FaultMatrix, Pairs) {
+  if (std::getenv("FAULT_MATRIX_CELL"))
+    return;
+  constexpr std::uint64_t Pairs = 64;
+  MatrixReport Report;
+  for (std::uint64_t Seed = 1; Seed <= Pairs; ++Seed) {
+    SeededRandom Random(Seed);
+    const Step First = static_cast<Step>(Random.below(StepCount));
+    Step Second = First;
+    do
+      Second = static_cast<Step>(Random.below(StepCount));
+    while (areaOf(First) != areaOf(Second));
+    Report.run(Seed, {{First, static_cast<Fault>(Random.below(FaultCount))},
+                      {Second, static_cast<Fault>(Random.below(FaultCount))}});
+  }
+  Report.finish("pairs");
+}
+
+TEST(FaultMatrix, OneCell) {
+  const char *Given = std::getenv("FAULT_MATRIX_CELL");
+  if (!Given)
+    return;
+  std::istringstream Words(Given);
+  std::uint64_t Seed = 1;
+  Words >> Seed;
+  std::vector<Injection> Cell;
+  std::string At;
+  std::string What;
+  while (Words >> At >> What)
+    Cell.push_back({static_cast<Step>(find(StepNames, StepCount, At)),
+                    static_cast<Fault>(find(FaultNames, FaultCount, What))});
+  MatrixReport Report;
+  Report.run(Seed, Cell);
+  Report.finish(Given);
+}
