Leave out leaving peers from address responses

Cause: HostCore::addresses used the plan's weights and left out only its own host; callerWeights and isKnownLeaving had been written for it and were never called. Hosts of a group kept giving out the address of a peer that was stopping until the list dropped it. Ruled out: mayStop waits long enough after the host's own list names it as leaving; the addresses that broke the rule were given out after that. Conclusion: a stopping host must wait for what others give out, and they must stop giving it out at once.

--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -336,9 +336,9 @@
                 "the contract names no such service");
   const ServiceRuntime &Served = *Services_.at(Service);
   AddressAnswer Answer{Service, Sync_.catalog()->Version_, {}};
-  for (const GroupMember &Member :
-       addressOrder(Served.config().Group_, Served.plan().weights(), Random_))
-    if (!(IsLeaving_ && Member.Host_ == Self_.Id_))
+  for (const GroupMember &Member : addressOrder(
+           Served.config().Group_, callerWeights(Served, Now), Random_))
+    if (!isKnownLeaving(Member.Host_))
       Answer.Hosts_.push_back(
           AddressOption{Member.Host_, Member.Domain_, Member.Address_,
                         tokenFor(Member.Host_, Service, Now)});
