Answer unknown to a token before the configuration is known

Cause: HostCore::admit refused with not-run before the token was checked while the host had no configuration or no route. A resend to a host that had just restarted was told not-run, although it ran under the former incarnation. Ruled out: the registry; it answers foreign tokens with unknown, but was not asked. Conclusion: nothing may answer not-run to a token ahead of the registry.

--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -116,7 +116,8 @@
   CoreActions onQuotaAsk(const HostId &From, const QuotaAskMessage &Message,
                          TimePoint Now);
   PeerStatus peerStatus(const HostId &Peer, TimePoint Now) const;
-  FlowStep refuseEarly(ResultCode Code, const std::string &Message);
+  FlowStep refuseEarly(ResultCode Code, const std::string &Message,
+                       const CallerRequest &Request);
   CoreActions dispatch(const PeerMessage &Message, TimePoint Now);
   HostWeights callerWeights(const ServiceRuntime &Service, TimePoint Now) const;
   bool isKnownLeaving(const HostId &Host) const;
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -120,20 +120,25 @@
   return Match.Terms_ ? Match.Terms_->MaxBodyBytes_ : 0;
 }
 
-FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message) {
-  return FlowStep{0, RequestRefusal{Code, Outcome::NotRun, Message, {}}};
+/// Refuses before the token is checked. A request with one may have run under
+/// an earlier incarnation, and a copy of it may yet run here.
+FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message,
+                               const CallerRequest &Request) {
+  const Outcome Known =
+      Request.Token_.empty() ? Outcome::NotRun : Outcome::Unknown;
+  return FlowStep{0, RequestRefusal{Code, Known, Message, {}}};
 }
 
 FlowStep HostCore::admit(const CallerRequest &Request, TimePoint Now) {
   if (!Sync_.isReady(Now))
-    return refuseEarly(ResultCode::NotReady, "no configuration yet");
+    return refuseEarly(ResultCode::NotReady, "no configuration yet", Request);
   const Contract *Terms = findContract(*Sync_.catalog(), Request.Customer_);
   const RouteMatch Match =
       Terms ? findRoute(*Terms, Request.Method_, Request.Target_)
             : RouteMatch();
   if (!Match.Route_)
     return refuseEarly(ResultCode::RouteUnknown,
-                       "no route of the contract matches");
+                       "no route of the contract matches", Request);
   const RoutedRequest Routed{Request, Match.Route_->Idempotent_,
                              Services_.at(Match.Terms_->Service_)};
   return Flow_.admit(Routed, Now);
