--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -111,6 +111,7 @@
   void reportTargets(TimePoint Now);
   void tellGroup(const ServiceRuntime &Service, const PeerBody &Body);
   void tellOfDraining(FlowId Flow);
+  void tellNewcomer(const HostId &Host);
   CoreActions onReport(const HostId &From, const ReportMessage &Report,
                        TimePoint Now);
   CoreActions onQuotaAsk(const HostId &From, const QuotaAskMessage &Message,
@@ -118,7 +119,8 @@
   void evaluateService(ServiceRuntime &Service, CoreActions &Actions,
                        TimePoint Now);
   PeerStatus peerStatus(const HostId &Peer, TimePoint Now) const;
-  FlowStep refuseEarly(ResultCode Code, const std::string &Message);
+  FlowStep refuseEarly(ResultCode Code, const std::string &Message,
+                       const CallerRequest &Request);
   CoreActions dispatch(const PeerMessage &Message, TimePoint Now);
   HostWeights callerWeights(const ServiceRuntime &Service, TimePoint Now) const;
   bool isKnownLeaving(const HostId &Host) const;
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -120,20 +120,25 @@
   return Match.Terms_ ? Match.Terms_->MaxBodyBytes_ : 0;
 }
 
-FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message) {
-  return FlowStep{0, RequestRefusal{Code, Outcome::NotRun, Message, {}}};
+/// Refuses before the token is checked. A request with one may have run under
+/// an earlier incarnation, and a copy of it may yet run here.
+FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message,
+                               const CallerRequest &Request) {
+  const Outcome Known =
+      Request.Token_.empty() ? Outcome::NotRun : Outcome::Unknown;
+  return FlowStep{0, RequestRefusal{Code, Known, Message, {}}};
 }
 
 FlowStep HostCore::admit(const CallerRequest &Request, TimePoint Now) {
   if (!Sync_.isReady(Now))
-    return refuseEarly(ResultCode::NotReady, "no configuration yet");
+    return refuseEarly(ResultCode::NotReady, "no configuration yet", Request);
   const Contract *Terms = findContract(*Sync_.catalog(), Request.Customer_);
   const RouteMatch Match =
       Terms ? findRoute(*Terms, Request.Method_, Request.Target_)
             : RouteMatch();
   if (!Match.Route_)
     return refuseEarly(ResultCode::RouteUnknown,
-                       "no route of the contract matches");
+                       "no route of the contract matches", Request);
   const RoutedRequest Routed{Request, Match.Route_->Idempotent_,
                              Services_.at(Match.Terms_->Service_)};
   return Flow_.admit(Routed, Now);
@@ -232,6 +237,17 @@
       Exchange_.send(Member.Host_, Body);
 }
 
+/// Tells a host that was not there when a drain marker was spread.
+void HostCore::tellNewcomer(const HostId &Host) {
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->config().Group_.contains(Host))
+      continue;
+    for (const TargetId &Target : Each.second->health().marked())
+      Exchange_.send(Host, ReportMessage{Each.first, Target, 0, false,
+                                         std::nullopt, true});
+  }
+}
+
 CoreActions HostCore::onReport(const HostId &From, const ReportMessage &Report,
                                TimePoint Now) {
   constexpr double MilliPerUnit = 1'000;
@@ -308,6 +324,8 @@
         Message.From_, Message.Incarnation_, Message.Sequence_, *Beat, Now);
     const bool IsNew = Taken == HeartbeatResult::Accepted ||
                        Taken == HeartbeatResult::NewIncarnation;
+    if (Taken == HeartbeatResult::NewIncarnation)
+      tellNewcomer(Message.From_);
     if (IsNew)
       return applyConfig(Sync_.onHeartbeat(Message.From_, Beat->Config_, Now),
                          Now);
@@ -343,9 +361,9 @@
                 "the contract names no such service");
   const ServiceRuntime &Served = *Services_.at(Service);
   AddressAnswer Answer{Service, Sync_.catalog()->Version_, {}};
-  for (const GroupMember &Member :
-       addressOrder(Served.config().Group_, Served.plan().weights(), Random_))
-    if (!(IsLeaving_ && Member.Host_ == Self_.Id_))
+  for (const GroupMember &Member : addressOrder(
+           Served.config().Group_, callerWeights(Served, Now), Random_))
+    if (!isKnownLeaving(Member.Host_))
       Answer.Hosts_.push_back(
           AddressOption{Member.Host_, Member.Domain_, Member.Address_,
                         tokenFor(Member.Host_, Service, Now)});
