Write the suspicion flag of target reports

The reader of a report takes seven elements and the writer wrote six: the flag Suspects_ was added to the value and to the reader only. Every report between hosts was dropped as malformed, so no host heard of a peer's evidence or of a draining target. PeerMessage.EachKindSurvives aborts before this change and passes after it.

--- a/src/peer-message.cc
+++ b/src/peer-message.cc
@@ -254,9 +254,10 @@
 
 json toCbor(const ReportMessage &Body) {
   const bool HasAnswered = Body.SinceAnsweredStart_.has_value();
-  return json::array(
-      {Body.Service_.str(), Body.Target_.str(), Body.ScoreMilli_, HasAnswered,
-       Body.SinceAnsweredStart_.value_or(Duration()).count(), Body.Draining_});
+  return json::array({Body.Service_.str(), Body.Target_.str(), Body.ScoreMilli_,
+                      Body.Suspects_, HasAnswered,
+                      Body.SinceAnsweredStart_.value_or(Duration()).count(),
+                      Body.Draining_});
 }
 
 ReportMessage readReport(CborReader &Reader) {
