Name only the receiver in a heartbeat

A host sent each group peer the ids of all peers that it heard, so the bytes grew with the square of the count of peers. A receiver looks for its own id only. The message and its codec stay as they are.

Ruled out: a flag in place of the list, which saves 30 bytes more and changes the protocol.

--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -274,10 +274,16 @@
 }
 
 void HostCore::sendHeartbeats(TimePoint Now) {
-  const HeartbeatMessage Beat = Peers_.nextHeartbeat(
-      Flow_.registry().issueEpoch(Now), IsLeaving_, Sync_.state(), Now);
-  for (const HostId &Peer : GroupPeers_)
+  HeartbeatMessage Beat = Peers_.nextHeartbeat(Flow_.registry().issueEpoch(Now),
+                                               IsLeaving_, Sync_.state(), Now);
+  for (const HostId &Peer : GroupPeers_) {
+    // A peer looks for itself only; naming all others to each of them makes
+    // the bytes grow with the square of the count of peers.
+    Beat.Heard_.clear();
+    if (Peers_.heard(Peer, Now))
+      Beat.Heard_.push_back(Peer);
     Exchange_.send(Peer, Beat);
+  }
 }
 
 CoreActions HostCore::receivePeer(std::string_view Bytes,
