--- a/bench/capacity-bench.cc
+++ b/bench/capacity-bench.cc
@@ -730,7 +730,8 @@
         Host.tick();
       }
     });
-    std::printf("stall second %d: %.3f ms;", Second, One.Ms_);
+    std::printf("stall second %d: %zu requests hang, %.3f ms;", Second,
+                Host.core().requestsInProgress(), One.Ms_);
     for (const std::pair<const std::string, Traffic> &Each : Host.sent())
       std::printf(" %s %llu (%llu B)", Each.first.c_str(),
                   static_cast<unsigned long long>(Each.second.Messages_),
@@ -785,6 +786,52 @@
                 MaxTrafficBytesPerSecond);
 }
 
+/// One list change that names a rack, a failure domain or a region, and one
+/// manifest that changes all services of the host's customer at once.
+void measureMassChanges(BoundChecks &Checks) {
+  const Fleet Around(scaled(Planned.Hosts_, Planned.Customers_));
+  const HostRecord &Record =
+      *findHost(Around.list(), spreadOfLoads(Around).Typical_);
+  CapacityHost Host(Around, Record);
+  Host.start();
+  for (const std::size_t Hosts : {1, 40, 600, 1'600}) {
+    const std::string Delta = Host.nextHostsDelta(0, Hosts);
+    const Cost One = costOf([&] { Host.receive(Delta); });
+    std::printf("list change of %4zu hosts: %zu B, %.2f ms, %.0f allocations, "
+                "%.2f MB at most\n",
+                Hosts, Delta.size(), One.Ms_, One.Allocations_,
+                One.PeakBytes_ / 1e6);
+    Checks.atMost("delta of a list change, bytes",
+                  static_cast<double>(Delta.size()), MaxPartMessageBytes);
+    Host.receive(Host.nextHostsDelta(0, 0));
+    Host.run(std::chrono::seconds(1));
+  }
+  Fleet Changing = Around;
+  std::vector<std::string> Messages;
+  for (std::size_t Index = 0; Index < Around.size().Services_; ++Index)
+    Changing.changeService(Index, 2);
+  Messages.push_back(Host.nextManifestDelta(Changing));
+  const std::string Customer = Record.CustomerPorts_.begin()->first.str();
+  for (std::size_t Index = 0; Index < Around.size().Services_; ++Index)
+    if (Fleet::customerName(Around.customerOfService(Index)) == Customer)
+      Messages.push_back(Host.documentMessage(
+          Changing, "service/" + Fleet::serviceName(Index)));
+  std::size_t Bytes = 0;
+  for (const std::string &Each : Messages)
+    Bytes += Each.size();
+  const Cost Burst = costOf([&] {
+    for (const std::string &Each : Messages)
+      Host.receive(Each);
+  });
+  std::printf("burst of %zu changes in one manifest: delta %zu B, %zu B with "
+              "the %zu own documents, %.2f ms, %.2f MB at most\n",
+              Around.size().Services_, Messages.front().size(), Bytes,
+              Messages.size() - 1, Burst.Ms_, Burst.PeakBytes_ / 1e6);
+  Checks.atMost("delta of a burst, bytes",
+                static_cast<double>(Messages.front().size()),
+                MaxPartMessageBytes);
+}
+
 /// Figures that follow from the measured sizes and the stated rates.
 void deriveDays(const HostFigures &Median, BoundChecks &Checks) {
   constexpr double Domains = 8;
@@ -840,6 +887,7 @@
   std::printf("\n");
   measureStall(Checks);
   measureOverload(Checks);
+  measureMassChanges(Checks);
   deriveDays(Median, Checks);
   std::printf("total %.1f s of processor time\n", cpuMs() / 1e3);
   return Checks.exitStatus();
--- a/bench/capacity-host.h
+++ b/bench/capacity-host.h
@@ -73,13 +73,16 @@
     exchange();
   }
 
-  /// Publishes a host list with one host changed, and gives the delta message
-  /// by which a peer hands it on.
-  std::string nextHostsDelta(std::size_t Index) {
+  /// Publishes a host list in which `Count` hosts from an index on leave, and
+  /// gives the delta message by which a peer hands it on. Hosts that left in
+  /// the list before are live again.
+  std::string nextHostsDelta(std::size_t Index, std::size_t Count = 1) {
     HostList Next = Fleet_.list();
-    HostRecord &Changed = Next.Hosts_[Index % Next.Hosts_.size()];
-    if (Changed.Id_ != Self_.Id_)
-      Changed.State_ = HostState::Leaving;
+    for (std::size_t Each = 0; Each < Count; ++Each) {
+      HostRecord &Changed = Next.Hosts_[(Index + Each) % Next.Hosts_.size()];
+      if (Changed.Id_ != Self_.Id_)
+        Changed.State_ = HostState::Leaving;
+    }
     const TableVersion Before = Hosts_.version();
     Hosts_.replace(Before.Version_ + 1, Next.Hosts_);
     return part(PartMessage{Hosts_.deltaFor(Before)});
