Show a target as usable once the floor has reinstated it

Cause: ServiceRuntime noted reinstatements for the floor with the next tick, so for up to 20 ms status named a target as ejected that already got work. Ruled out: the floor itself; TargetHealth had reinstated the target in the same call, and the next tick showed it. Before: FAULT_MATRIX_CELL="1 ejected backend-drain" with three stalled targets ended with 'invariant 1: h1 leaves 5 of 6 slots'. After: 66 of 66 cells of the area health pass. Conclusion: status asks TargetHealth about a target before it calls it ejected.

--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -171,7 +171,12 @@
   Status.InProgress_ = Picker_.inProgress(Listed.Id_);
   const std::map<TargetId, Condition>::const_iterator It =
       Conditions_.find(Listed.Id_);
-  if (It != Conditions_.end()) {
+  // A reinstatement for the floor is noted with the next tick and holds at
+  // once.
+  const bool IsOver = It != Conditions_.end() &&
+                      It->second.Value_ == TargetCondition::Ejected &&
+                      Health_.isUsable(Listed.Id_);
+  if (It != Conditions_.end() && !IsOver) {
     Status.Condition_ = It->second.Value_;
     Status.Cause_ = It->second.Cause_;
     Status.Figures_ = It->second.Figures_;
