--- a/test/fault-matrix-test.cc
+++ b/test/fault-matrix-test.cc
@@ -3,7 +3,8 @@
 // in virtual time. Guards against decisions that are right in each component
 // and break an invariant of docs/design.md, section 2, in combination.
 //
-// FAULT_MATRIX_CELL="SEED STEP FAULT [STEP FAULT]" runs one cell.
+// FAULT_MATRIX_CELL="SEED STEP FAULT [STEP FAULT]" runs one cell;
+// FAULT_MATRIX_PAIRS=COUNT runs pairs of the seeds up to COUNT.
 
 #include "core-fleet.h"
 #include "fleet-callers.h"
@@ -153,11 +154,14 @@
       Fleet_.events().after(ms(500), [this] { Fleet_.listHost(1, "leaving"); });
       return;
     case Area::Health:
-      Fleet_.backend(2).IsStalled_ = true;
-      Fleet_.events().after(ms(5'000), [this] {
-        Fleet_.backend(2).IsStalled_ = false;
-        Fleet_.releaseStuck(2);
-      });
+      // One more than the floor allows to eject.
+      for (const std::size_t Target : {2, 3, 4}) {
+        Fleet_.backend(Target).IsStalled_ = true;
+        Fleet_.events().after(ms(5'000), [this, Target] {
+          Fleet_.backend(Target).IsStalled_ = false;
+          Fleet_.releaseStuck(Target);
+        });
+      }
       return;
     case Area::Quota:
       return;
@@ -419,7 +423,8 @@
 TEST(FaultMatrix, Pairs) {
   if (std::getenv("FAULT_MATRIX_CELL"))
     return;
-  constexpr std::uint64_t Pairs = 64;
+  const char *Given = std::getenv("FAULT_MATRIX_PAIRS");
+  const std::uint64_t Pairs = Given ? std::strtoull(Given, nullptr, 10) : 64;
   MatrixReport Report;
   for (std::uint64_t Seed = 1; Seed <= Pairs; ++Seed) {
     SeededRandom Random(Seed);
