Keep no more idle connections than own slots

Cause: each request that may not be repeated opens a new connection and handed it to the pool, which kept 32 for each target and host. Kept connections are now bounded by the host's slots.

--- a/include/kumquatpitch/attempt.h
+++ b/include/kumquatpitch/attempt.h
@@ -48,6 +48,7 @@
   Endpoint Address_;
   TimePoint Deadline_;
   bool FreshConnection_ = false; ///< Kept connections must not be used.
+  std::size_t MaxKept_ = 0;      ///< Idle connections to keep at the address.
   std::uint64_t MaxAnswerBytes_ = 0;
   std::string EchoHeader_;
   Marker Refusal_;
--- a/include/kumquatpitch/backend-client.h
+++ b/include/kumquatpitch/backend-client.h
@@ -54,8 +54,7 @@
 /// Safe to use from several threads.
 class BackendClient {
 public:
-  /// Keeps at most `MaxKept` idle connections for each address.
-  BackendClient(const TimerService &Timers, std::size_t MaxKept);
+  explicit BackendClient(const TimerService &Timers);
   ~BackendClient();
   BackendClient(const BackendClient &) = delete;
   BackendClient &operator=(const BackendClient &) = delete;
@@ -80,10 +79,10 @@
   };
 
   std::unique_ptr<detail::BackendConnection> take(const AttemptOrder &Order);
-  void give(std::unique_ptr<detail::BackendConnection> Connection);
+  void give(std::unique_ptr<detail::BackendConnection> Connection,
+            std::size_t MaxKept);
 
   const TimerService &Timers_;
-  const std::size_t MaxKept_;
   mutable std::mutex Mutex_;
   std::map<Endpoint, Kept> Kept_;
 };
--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -49,6 +49,11 @@
   /// True when this host is in the service's group.
   bool isAssigned() const { return IsAssigned_; }
 
+  /// Slots of this host at a target by the plan.
+  std::uint32_t ownSlots(const TargetId &Target) const {
+    return Plan_.ownSlots(Self_, Target).Slots_;
+  }
+
   /// True when this host has slots and permits that it may use now.
   bool isServing(TimePoint Now);
 
--- a/src/backend-client.cc
+++ b/src/backend-client.cc
@@ -135,8 +135,7 @@
   return Reason_;
 }
 
-BackendClient::BackendClient(const TimerService &Timers, std::size_t MaxKept)
-    : Timers_(Timers), MaxKept_(MaxKept) {}
+BackendClient::BackendClient(const TimerService &Timers) : Timers_(Timers) {}
 
 BackendClient::~BackendClient() = default;
 
@@ -183,7 +182,7 @@
   Result.Report_.End_ = carries(Result.Answer_, Order.Refusal_)
                             ? AttemptEnd::Refused
                             : AttemptEnd::Answered;
-  give(std::move(Connection));
+  give(std::move(Connection), Order.MaxKept_);
   return Result;
 }
 
@@ -199,11 +198,12 @@
   return Connection;
 }
 
-void BackendClient::give(std::unique_ptr<BackendConnection> Connection) {
+void BackendClient::give(std::unique_ptr<BackendConnection> Connection,
+                         std::size_t MaxKept) {
   const std::lock_guard<std::mutex> Lock(Mutex_);
   Kept &Entry = Kept_[Connection->address()];
   if (Connection->generation() == Entry.Generation_ &&
-      Entry.Idle_.size() < MaxKept_ && Connection->is_socket_open() != 0)
+      Entry.Idle_.size() < MaxKept && Connection->is_socket_open() != 0)
     Entry.Idle_.push_back(std::move(Connection));
 }
 
--- a/src/host-daemon.cc
+++ b/src/host-daemon.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t MaxKeptConnections = 32;
 constexpr std::size_t MaxDialedPeers = 256;
 constexpr Duration PlatformTimeout = std::chrono::seconds(2);
 
@@ -48,9 +47,8 @@
       Random_(drawSeed()),
       Core_(makeIdentity(Settings_), HostServices{Random_, Log_, Link_},
             Timers_.now()),
-      Backends_(Timers_, MaxKeptConnections),
-      Platform_(std::make_unique<HttpPlatformReader>(Settings_.Platform_,
-                                                     PlatformTimeout)),
+      Backends_(Timers_), Platform_(std::make_unique<HttpPlatformReader>(
+                              Settings_.Platform_, PlatformTimeout)),
       Driver_(Core_, Backends_, Timers_, *Platform_),
       Front_(Context_, Driver_, makeLimits(Settings_)), Operators_(*this),
       Signals_(Context_) {}
--- a/src/main.cc
+++ b/src/main.cc
@@ -19,6 +19,8 @@
 const Command Commands[] = {
     {"serve", "run the daemon of an entry host", kumquatpitch::runServe},
     {"check", "check settings and published documents", kumquatpitch::runCheck},
+    {"status", "show what hosts do and why", kumquatpitch::runStatus},
+    {"burn", "report on service-level burn", kumquatpitch::runBurn},
 };
 
 void printUsage(std::ostream &Out) {
--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -183,6 +183,7 @@
   Order.Address_ = findTarget(Listed, Entry.Target_)->Address_;
   Order.Deadline_ = Entry.Deadline_;
   Order.FreshConnection_ = IsFresh;
+  Order.MaxKept_ = Entry.Service_->ownSlots(Entry.Target_);
   Order.MaxAnswerBytes_ = Entry.Service_->terms().MaxAnswerBytes_;
   Order.EchoHeader_ = Listed.EchoHeader_;
   Order.Refusal_ = Listed.Refusal_;
--- a/src/serve-command.cc
+++ b/src/serve-command.cc
@@ -2,6 +2,7 @@
 
 #include "kumquatpitch/command.h"
 #include "kumquatpitch/host-daemon.h"
+#include "kumquatpitch/report-options.h"
 
 #include <getopt.h>
 #include <iostream>
@@ -17,14 +18,6 @@
     "serves on until kept answers have expired and requests are done, and "
     "ends.\n";
 
-/// Logs a failure to standard error; gives the exit status.
-int reportFailure(const Failure &Cause) {
-  std::cerr << "kumquatpitch: " << Cause.Message_ << " ("
-            << static_cast<int>(Cause.Code_) << " "
-            << resultCodeName(Cause.Code_) << ")\n";
-  return exitStatus(Cause.Code_);
-}
-
 } // namespace
 
 int runServe(int Argc, char **Argv) {
@@ -52,7 +45,7 @@
         BOOST_LEAF_CHECK(Daemon.run());
         return 0;
       },
-      reportFailure);
+      [](const Failure &Cause) { return reportFailure("serve", Cause); });
 }
 
 } // namespace kumquatpitch
