Tell a host again which targets drain once it hears its peers

Cause: a drain marker was spread once; a host that did not hear it learnt of the drain only from its own next request there, up to 11 s after the first sign. Ruled out: late or reordered messages; the cells lose messages to that host. Losses too short for a heartbeat to miss are not covered.

--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -111,7 +111,7 @@
   void reportTargets(TimePoint Now);
   void tellGroup(const ServiceRuntime &Service, const PeerBody &Body);
   void tellOfDraining(FlowId Flow);
-  void tellNewcomer(const HostId &Host);
+  void tellOfMissedDraining(const HostId &Host);
   CoreActions onReport(const HostId &From, const ReportMessage &Report,
                        TimePoint Now);
   CoreActions onQuotaAsk(const HostId &From, const QuotaAskMessage &Message,
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -225,8 +225,9 @@
       Exchange_.send(Member.Host_, Body);
 }
 
-/// Tells a host that was not there when a drain marker was spread.
-void HostCore::tellNewcomer(const HostId &Host) {
+/// Tells a host that was not there, or did not hear this one, when a drain
+/// marker was spread.
+void HostCore::tellOfMissedDraining(const HostId &Host) {
   for (const ServiceMap::value_type &Each : Services_) {
     if (!Each.second->config().Group_.contains(Host))
       continue;
@@ -313,12 +314,14 @@
 CoreActions HostCore::dispatch(const PeerMessage &Message, TimePoint Now) {
   if (const HeartbeatMessage *Beat =
           std::get_if<HeartbeatMessage>(&Message.Body_)) {
+    const bool HeardUs = Peers_.hearsUs(Message.From_, Now);
     const HeartbeatResult Taken = Peers_.onHeartbeat(
         Message.From_, Message.Incarnation_, Message.Sequence_, *Beat, Now);
     const bool IsNew = Taken == HeartbeatResult::Accepted ||
                        Taken == HeartbeatResult::NewIncarnation;
-    if (Taken == HeartbeatResult::NewIncarnation)
-      tellNewcomer(Message.From_);
+    if (Taken == HeartbeatResult::NewIncarnation ||
+        (!HeardUs && Peers_.hearsUs(Message.From_, Now)))
+      tellOfMissedDraining(Message.From_);
     if (IsNew)
       return applyConfig(Sync_.onHeartbeat(Message.From_, Beat->Config_, Now),
                          Now);
