--- a/test/fleet-platform.h
+++ b/test/fleet-platform.h
@@ -96,9 +96,9 @@
 
 /// The documents of the matrix: one customer with one service.
 struct FleetDocuments {
-  static constexpr std::uint32_t Targets = 6;
-  static constexpr std::uint32_t Slots = 4;
-  static constexpr std::uint32_t Floor = 4;
+  static constexpr std::uint64_t Targets = 6;
+  static constexpr std::uint64_t Slots = 4;
+  static constexpr std::uint64_t Floor = 4;
 
   static std::string domain(std::size_t Index) {
     static const char *const Names[] = {"nyarugenge", "gasabo", "kicukiro"};
