--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -116,6 +116,8 @@
                        TimePoint Now);
   CoreActions onQuotaAsk(const HostId &From, const QuotaAskMessage &Message,
                          TimePoint Now);
+  void evaluateService(ServiceRuntime &Service, CoreActions &Actions,
+                       TimePoint Now);
   PeerStatus peerStatus(const HostId &Peer, TimePoint Now) const;
   FlowStep refuseEarly(ResultCode Code, const std::string &Message,
                        const CallerRequest &Request);
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -66,9 +66,9 @@
   if (IsLeaving_ || !Sync_.isReady(Now) || Sync_.catalog()->Version_ == 0)
     return false;
   return std::none_of(Services_.begin(), Services_.end(),
-                      [](const ServiceMap::value_type &Each) {
+                      [Now](const ServiceMap::value_type &Each) {
                         return Each.second->isAssigned() &&
-                               !Each.second->hasSlots();
+                               !Each.second->isServing(Now);
                       });
 }
 
@@ -180,6 +180,18 @@
   return Actions;
 }
 
+void HostCore::evaluateService(ServiceRuntime &Service, CoreActions &Actions,
+                               TimePoint Now) {
+  const ServiceName &Name = Service.entry().Service_;
+  for (const HealthChange &Change : Service.evaluate(Now)) {
+    if (Change.Kind_ != HealthChangeKind::Suspected)
+      Log_.log(LogLevel::Info, "detector", describeChange(Name, Change));
+    append(Actions, Flow_.onHealthChange(Service, Change));
+  }
+  for (const TargetId &Suspect : Service.health().suspects())
+    Faults_.targetTurnedBad(Name, Suspect, Now);
+}
+
 void HostCore::tickConfig(CoreActions &Actions, TimePoint Now) {
   if (Now < NextConfigTick_)
     return;
@@ -275,26 +287,27 @@
     Log_.log(LogLevel::Warning, "detector", describeFault(*Fault));
   IsFaultLogged_ = Fault.has_value();
   for (const ServiceMap::value_type &Each : Services_) {
+    Each.second->applyDueSlots(Now);
     if (Fault)
       Each.second->health().clearEvidence(Now);
-    for (const HealthChange &Change : Each.second->tick(Now)) {
-      if (Change.Kind_ == HealthChangeKind::Suspected)
-        Faults_.targetTurnedBad(Each.first, Change.Target_, Now);
-      else
-        Log_.log(LogLevel::Info, "detector",
-                 describeChange(Each.first, Change));
-      append(Actions, Flow_.onHealthChange(*Each.second, Change));
-    }
+    else
+      evaluateService(*Each.second, Actions, Now);
     append(Actions, Flow_.serveQueue(*Each.second, Now));
     askForQuota(*Each.second, Now);
   }
 }
 
 void HostCore::sendHeartbeats(TimePoint Now) {
-  const HeartbeatMessage Beat = Peers_.nextHeartbeat(
-      Flow_.registry().issueEpoch(Now), IsLeaving_, Sync_.state(), Now);
-  for (const HostId &Peer : GroupPeers_)
+  HeartbeatMessage Beat = Peers_.nextHeartbeat(Flow_.registry().issueEpoch(Now),
+                                               IsLeaving_, Sync_.state(), Now);
+  for (const HostId &Peer : GroupPeers_) {
+    // A peer looks for itself only; naming all others to each of them makes
+    // the bytes grow with the square of the count of peers.
+    Beat.Heard_.clear();
+    if (Peers_.heard(Peer, Now))
+      Beat.Heard_.push_back(Peer);
     Exchange_.send(Peer, Beat);
+  }
 }
 
 CoreActions HostCore::receivePeer(std::string_view Bytes,
