--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -66,9 +66,9 @@
   if (IsLeaving_ || !Sync_.isReady(Now) || Sync_.catalog()->Version_ == 0)
     return false;
   return std::none_of(Services_.begin(), Services_.end(),
-                      [](const ServiceMap::value_type &Each) {
+                      [Now](const ServiceMap::value_type &Each) {
                         return Each.second->isAssigned() &&
-                               !Each.second->hasSlots();
+                               !Each.second->isServing(Now);
                       });
 }
 
@@ -120,20 +120,25 @@
   return Match.Terms_ ? Match.Terms_->MaxBodyBytes_ : 0;
 }
 
-FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message) {
-  return FlowStep{0, RequestRefusal{Code, Outcome::NotRun, Message, {}}};
+/// Refuses before the token is checked. A request with one may have run under
+/// an earlier incarnation, and a copy of it may yet run here.
+FlowStep HostCore::refuseEarly(ResultCode Code, const std::string &Message,
+                               const CallerRequest &Request) {
+  const Outcome Known =
+      Request.Token_.empty() ? Outcome::NotRun : Outcome::Unknown;
+  return FlowStep{0, RequestRefusal{Code, Known, Message, {}}};
 }
 
 FlowStep HostCore::admit(const CallerRequest &Request, TimePoint Now) {
   if (!Sync_.isReady(Now))
-    return refuseEarly(ResultCode::NotReady, "no configuration yet");
+    return refuseEarly(ResultCode::NotReady, "no configuration yet", Request);
   const Contract *Terms = findContract(*Sync_.catalog(), Request.Customer_);
   const RouteMatch Match =
       Terms ? findRoute(*Terms, Request.Method_, Request.Target_)
             : RouteMatch();
   if (!Match.Route_)
     return refuseEarly(ResultCode::RouteUnknown,
-                       "no route of the contract matches");
+                       "no route of the contract matches", Request);
   const RoutedRequest Routed{Request, Match.Route_->Idempotent_,
                              Services_.at(Match.Terms_->Service_)};
   return Flow_.admit(Routed, Now);
@@ -175,6 +180,18 @@
   return Actions;
 }
 
+void HostCore::evaluateService(ServiceRuntime &Service, CoreActions &Actions,
+                               TimePoint Now) {
+  const ServiceName &Name = Service.entry().Service_;
+  for (const HealthChange &Change : Service.evaluate(Now)) {
+    if (Change.Kind_ != HealthChangeKind::Suspected)
+      Log_.log(LogLevel::Info, "detector", describeChange(Name, Change));
+    append(Actions, Flow_.onHealthChange(Service, Change));
+  }
+  for (const TargetId &Suspect : Service.health().suspects())
+    Faults_.targetTurnedBad(Name, Suspect, Now);
+}
+
 void HostCore::tickConfig(CoreActions &Actions, TimePoint Now) {
   if (Now < NextConfigTick_)
     return;
@@ -220,6 +237,17 @@
       Exchange_.send(Member.Host_, Body);
 }
 
+/// Tells a host that was not there when a drain marker was spread.
+void HostCore::tellNewcomer(const HostId &Host) {
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->config().Group_.contains(Host))
+      continue;
+    for (const TargetId &Target : Each.second->health().marked())
+      Exchange_.send(Host, ReportMessage{Each.first, Target, 0, false,
+                                         std::nullopt, true});
+  }
+}
+
 CoreActions HostCore::onReport(const HostId &From, const ReportMessage &Report,
                                TimePoint Now) {
   constexpr double MilliPerUnit = 1'000;
@@ -258,16 +286,11 @@
     Log_.log(LogLevel::Warning, "detector", describeFault(*Fault));
   IsFaultLogged_ = Fault.has_value();
   for (const ServiceMap::value_type &Each : Services_) {
+    Each.second->applyDueSlots(Now);
     if (Fault)
       Each.second->health().clearEvidence(Now);
-    for (const HealthChange &Change : Each.second->tick(Now)) {
-      if (Change.Kind_ == HealthChangeKind::Suspected)
-        Faults_.targetTurnedBad(Each.first, Change.Target_, Now);
-      else
-        Log_.log(LogLevel::Info, "detector",
-                 describeChange(Each.first, Change));
-      append(Actions, Flow_.onHealthChange(*Each.second, Change));
-    }
+    else
+      evaluateService(*Each.second, Actions, Now);
     append(Actions, Flow_.serveQueue(*Each.second, Now));
     askForQuota(*Each.second, Now);
   }
@@ -307,6 +330,8 @@
         Message.From_, Message.Incarnation_, Message.Sequence_, *Beat, Now);
     const bool IsNew = Taken == HeartbeatResult::Accepted ||
                        Taken == HeartbeatResult::NewIncarnation;
+    if (Taken == HeartbeatResult::NewIncarnation)
+      tellNewcomer(Message.From_);
     if (IsNew)
       return applyConfig(Sync_.onHeartbeat(Message.From_, Beat->Config_, Now),
                          Now);
@@ -342,9 +367,9 @@
                 "the contract names no such service");
   const ServiceRuntime &Served = *Services_.at(Service);
   AddressAnswer Answer{Service, Sync_.catalog()->Version_, {}};
-  for (const GroupMember &Member :
-       addressOrder(Served.config().Group_, Served.plan().weights(), Random_))
-    if (!(IsLeaving_ && Member.Host_ == Self_.Id_))
+  for (const GroupMember &Member : addressOrder(
+           Served.config().Group_, callerWeights(Served, Now), Random_))
+    if (!isKnownLeaving(Member.Host_))
       Answer.Hosts_.push_back(
           AddressOption{Member.Host_, Member.Domain_, Member.Address_,
                         tokenFor(Member.Host_, Service, Now)});
