--- a/bench/capacity-figures.h
+++ b/bench/capacity-figures.h
@@ -53,9 +53,10 @@
   double IdleMsPerSecond_ = 0;
   double IdleAllocations_ = 0;
   Cost ListChange_;
-  double ListChangeBytes_ = 0; ///< Sent and received for one change.
-  Cost OtherChange_;           ///< A service of another customer.
-  Cost OwnChange_;             ///< A service of this host's customer.
+  double ListChangeBytes_ = 0;   ///< Sent and received for one change.
+  double ConfigChangeBytes_ = 0; ///< Likewise, without the document.
+  Cost OtherChange_;             ///< A service of another customer.
+  Cost OwnChange_;               ///< A service of this host's customer.
   Cost Request_;
   double StatusBytes_ = 0;
   double MetricsBytes_ = 0;
@@ -148,6 +149,7 @@
                                 std::size_t Service, HostFigures &Found) {
   constexpr std::size_t Changes = 10;
   Cost Sum;
+  Host.clearTraffic();
   for (std::size_t Index = 0; Index < Changes; ++Index) {
     Changing.changeService(Service, Changing.manifest().Version_ + 1);
     const std::string Delta = Host.nextManifestDelta(Changing);
@@ -164,6 +166,12 @@
     Sum.PeakBytes_ = std::max(Sum.PeakBytes_, One.PeakBytes_);
     Host.run(std::chrono::seconds(1));
   }
+  Found.ConfigChangeBytes_ =
+      Found.ManifestDeltaBytes_ +
+      static_cast<double>(CapacityHost::bytesOf(Host.sent()) +
+                          CapacityHost::bytesOf(Host.received())) /
+          Changes -
+      Found.SentPerSecond_ - Found.ReceivedPerSecond_;
   return shared(Sum, Changes);
 }
 
@@ -208,13 +216,12 @@
   return Found;
 }
 
-/// Control traffic in both directions on an ordinary day. A change of the
-/// configuration is told as one of the list is, and its document follows.
+/// Control traffic in both directions on an ordinary day.
 inline double ordinaryBytesPerSecond(const HostFigures &Of) {
   constexpr double ConfigChangesPerSecond = ConfigChangesPerDay / SecondsPerDay;
   return Of.SentPerSecond_ + Of.ReceivedPerSecond_ +
          ListChangesPerSecond * Of.ListChangeBytes_ +
-         ConfigChangesPerSecond * (Of.ListChangeBytes_ + Of.DocumentBytes_);
+         ConfigChangesPerSecond * (Of.ConfigChangeBytes_ + Of.DocumentBytes_);
 }
 
 inline void printHost(const char *Label, const Fleet &Around,
@@ -241,6 +248,8 @@
   std::printf(
       "  list change: %.0f B sent and received; ordinary day %.0f B/s\n",
       Found.ListChangeBytes_, ordinaryBytesPerSecond(Found));
+  std::printf("  config change: %.0f B sent and received\n",
+              Found.ConfigChangeBytes_);
   PrintChange("own config change", Found.OwnChange_,
               ConfigChangesPerDay / SecondsPerDay);
   PrintChange("other config change", Found.OtherChange_,
