--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -95,7 +95,7 @@
 
 NextStep RequestFlow::admitRouted(const RoutedRequest &Routed, FlowId Id,
                                   FlowState &Entry, TimePoint Now) {
-  const NextStep Bound = bind(Routed, Entry, Now);
+  NextStep Bound = bind(Routed, Entry, Now);
   if (isLast(Bound))
     return Bound;
   ServiceRuntime &Service = *Entry.Service_;
@@ -279,7 +279,7 @@
   Service.burn().record(End, Now);
   Metrics_.requestEnded(Service.entry().Customer_, Service.entry().Service_,
                         End, Now);
-  const FlowStep Closed{At->first, Last};
+  FlowStep Closed{At->first, Last};
   Flows_.erase(At);
   return Closed;
 }
--- a/test/fleet-demo.cc
+++ b/test/fleet-demo.cc
@@ -96,6 +96,7 @@
 int callAll(TestFleet &Fleet, const char *Part, std::chrono::seconds Time) {
   Tally Result;
   std::vector<std::thread> Threads;
+  Threads.reserve(Callers);
   for (int Caller = 0; Caller < Callers; ++Caller)
     Threads.emplace_back(
         [&, Caller] { callAlong(Fleet, Caller, Time, Result); });
--- a/test/front-process-test.cc
+++ b/test/front-process-test.cc
@@ -27,8 +27,9 @@
       "Content-Length: 5\r\nContent-Length: 6\r\n",
       "Transfer-Encoding: xchunked\r\n", "X: a\nContent-Length: 5\r\n"};
   for (const std::string &Head : Heads) {
-    const std::string Got = answerTo("POST /orders/1 HTTP/1.1\r\nHost: a\r\n" +
-                                     Head + "\r\n0\r\n\r\n" + Hidden);
+    std::string Sent = "POST /orders/1 HTTP/1.1\r\nHost: a\r\n";
+    Sent.append(Head).append("\r\n0\r\n\r\n").append(Hidden);
+    const std::string Got = answerTo(Sent);
     CHECK_TEXT(Got.rfind("HTTP/1.1 400", 0) == 0, Head.c_str());
     CHECK_TEXT(Got.find("not-run") != std::string::npos, Head.c_str());
     CHECK_TEXT(Got.find("HTTP/1.1 200") == std::string::npos, Head.c_str());
--- a/test/once-process-test.cc
+++ b/test/once-process-test.cc
@@ -40,7 +40,7 @@
   TestFleet Fleet(testPlan());
   CHECK(Fleet.waitReady());
   const std::vector<AddressedHost> Hosts = Fleet.askAddresses(0).value();
-  const AddressedHost First = Hosts.front();
+  const AddressedHost &First = Hosts.front();
   const int Index = First.Id_.back() - '0';
   Fleet.host(Index).signal(SIGSTOP);
   std::thread Caller([&] {
@@ -63,7 +63,7 @@
   TestFleet Fleet(testPlan());
   CHECK(Fleet.waitReady());
   const std::vector<AddressedHost> Hosts = Fleet.askAddresses(0).value();
-  const AddressedHost First = Hosts.front();
+  const AddressedHost &First = Hosts.front();
   const int Index = First.Id_.back() - '0';
   // CHECK_EQUAL evaluates its arguments twice when they differ.
   const CallerAnswer Ran = TestFleet::call(First.Port_, "POST", "/orders/1",
--- /dev/null
+++ b/test/request-driver-test.cc
@@ -0,0 +1,255 @@
+// The io of a request in one process: front, driver, core and client with real
+// sockets and threads. Also run under the thread sanitizer.
+
+#include "kumquatpitch/catalog.h"
+#include "kumquatpitch/request-driver.h"
+#include "manual-time.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <atomic>
+#include <httplib.h>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+namespace {
+
+class SilentLogger : public Logger {
+public:
+  void log(LogLevel, const char *, const std::string &) override {}
+};
+
+class NoTransport : public PeerTransport {
+public:
+  bool send(const Endpoint &, const std::string &) override { return false; }
+};
+
+/// Serves one published configuration from memory.
+class MemoryPlatform : public PlatformReader {
+public:
+  std::map<std::string, std::string> Values_;
+
+  void read(const std::string &Key, Callback OnReply) override {
+    const std::map<std::string, std::string>::const_iterator It =
+        Values_.find(Key);
+    PlatformReply Reply;
+    Reply.Key_ = Key;
+    Reply.Status_ = It == Values_.end() ? PlatformStatus::UnknownKey
+                                        : PlatformStatus::Value;
+    Reply.Version_ = Key.rfind("parts/", 0) == 0 ? 0 : 1;
+    if (It != Values_.end())
+      Reply.Body_ = It->second;
+    OnReply(std::move(Reply));
+  }
+
+  void watch(const std::string &Key, std::uint64_t After, Duration,
+             Callback OnReply) override {
+    if (After == 0)
+      return read(Key, std::move(OnReply));
+    PlatformReply Reply;
+    Reply.Key_ = Key;
+    Reply.Status_ = PlatformStatus::Unchanged;
+    OnReply(std::move(Reply));
+  }
+};
+
+constexpr int CallerCount = 6;
+
+constexpr const char *ContractText = R"({"customer":"imigongo","version":1,
+ "services":[{"name":"ledger","rate_per_s":100000,"in_progress":100,
+ "max_body_bytes":1000,"max_answer_bytes":100000,"deadline_ms":500,
+ "queue":{"max_requests":50,"max_wait_ms":400},
+ "slo":{"availability_percent":99,"latency_ms":400,"window_days":28},
+ "routes":[{"method":"GET","path_prefix":"/lists","idempotent":true},
+           {"method":"POST","path_prefix":"/deposits","idempotent":false}]}]})";
+
+std::string entryText(int Port) {
+  return R"({"service":"ledger","customer":"imigongo","version":1,
+ "floor_targets":1,"detection_profile":"fast-detection","region":"kigali",
+ "echo_header":"X-Attempt","targets":[{"id":"t1","address":"127.0.0.1","port":)" +
+         std::to_string(Port) +
+         R"(,"failure_domain":"gasabo","slots":8,"connections":400,
+ "state":"serving"}]})";
+}
+
+constexpr const char *HostsText = R"({"version":1,"hosts":[{"id":"h1",
+ "region":"kigali","failure_domain":"gasabo","address":"127.0.0.1",
+ "peer_port":1,"operator_port":2,
+ "customer_ports":[{"customer":"imigongo","port":3}],"state":"live"}]})";
+
+} // namespace
+
+TEST_GROUP(RequestDriver) {
+  httplib::Server Backend_;
+  std::thread BackendThread_;
+  SilentLogger Log_;
+  NoTransport Transport_;
+  SeededRandom Random_{1};
+  MemoryPlatform Platform_;
+  test::ManualTimerService Time_;
+  asio::io_context Context_;
+  std::unique_ptr<HostCore> Core_;
+  std::unique_ptr<BackendClient> Client_;
+  std::unique_ptr<RequestDriver> Driver_;
+  std::unique_ptr<HttpFront> Front_;
+  std::unique_ptr<asio::executor_work_guard<asio::io_context::executor_type>>
+      Work_;
+  std::thread IoThread_;
+  int Port_ = 0;
+  std::atomic<int> Runs_{0};
+
+  void setup() override {
+    const int BackendPort = startBackend();
+    publish(BackendPort);
+    makeHost();
+    // A new host may use its slots and permits only after the settle time.
+    for (int Step = 0; Step < 1'500; ++Step) {
+      Time_.advance(test::ms(20));
+      tick();
+    }
+    Work_ = std::make_unique<
+        asio::executor_work_guard<asio::io_context::executor_type>>(
+        Context_.get_executor());
+    IoThread_ = std::thread([this] { Context_.run(); });
+  }
+
+  void teardown() override {
+    Front_->stopAccepting();
+    Front_->join();
+    Work_.reset();
+    Context_.stop();
+    IoThread_.join();
+    Front_.reset();
+    Backend_.stop();
+    BackendThread_.join();
+  }
+
+  void tick() {
+    Driver_->drive(
+        [](HostCore &Core, TimePoint Now) { return Core.tick(Now); });
+  }
+
+  int startBackend() {
+    const httplib::Server::Handler Handle = [this](const httplib::Request &Got,
+                                                   httplib::Response &Out) {
+      ++Runs_;
+      Out.set_header("X-Attempt",
+                     Got.get_header_value("Kumquatpitch-Attempt-Id"));
+      Out.set_content(Got.target + " " + Got.body, "text/plain");
+    };
+    Backend_.Get(".*", Handle).Post(".*", Handle);
+    Backend_.set_tcp_nodelay(true);
+    Backend_.set_keep_alive_timeout(1);
+    const int BackendPort = Backend_.bind_to_any_port("127.0.0.1");
+    BackendThread_ = std::thread([this] { Backend_.listen_after_bind(); });
+    return BackendPort;
+  }
+
+  void publish(int BackendPort) {
+    std::string Parts;
+    const auto Add = [&](const std::string &Name, const std::string &Text) {
+      const std::string Hash = contentHash(Text);
+      Platform_.Values_["parts/" + Name + "/" + Hash] = Text;
+      Parts += (Parts.empty() ? "" : ",") + std::string(R"({"name":")") + Name +
+               R"(","version":1,"hash":")" + Hash + R"(","bytes":)" +
+               std::to_string(Text.size()) + "}";
+    };
+    Add("contract/imigongo", ContractText);
+    Add("service/ledger", entryText(BackendPort));
+    Platform_.Values_["manifest"] =
+        R"({"format":1,"version":1,"parts":[)" + Parts + "]}";
+    Platform_.Values_["hosts"] = HostsText;
+  }
+
+  void makeHost() {
+    const CustomerName Customer("imigongo");
+    HostIdentity Self;
+    Self.Id_ = HostId("h1");
+    Self.Region_ = Region("kigali");
+    Self.Domain_ = FailureDomain("gasabo");
+    Self.Incarnation_ = 7;
+    Self.PeerAddress_ = Endpoint{"127.0.0.1", 1};
+    Self.Customers_ = {Customer};
+    Core_ = std::make_unique<HostCore>(
+        Self, HostServices{Random_, Log_, Transport_}, Time_.now());
+    Client_ = std::make_unique<BackendClient>(Time_);
+    Driver_ =
+        std::make_unique<RequestDriver>(*Core_, *Client_, Time_, Platform_);
+    Front_ = std::make_unique<HttpFront>(Context_, *Driver_, FrontLimits());
+    // Some port between those that the system hands out and the fixed ones.
+    for (Port_ = 21'000; Port_ < 22'000; ++Port_) {
+      const bool IsOpen = handleFailure(
+          [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(Front_->listen(
+                Customer,
+                Endpoint{"127.0.0.1", static_cast<std::uint16_t>(Port_)}));
+            return true;
+          },
+          [](const Failure &) { return false; });
+      if (IsOpen)
+        return;
+    }
+  }
+};
+
+// Guards against data races between callers, workers and the core, and against
+// answers that reach another caller.
+TEST(RequestDriver, ManyCallersGetTheirOwnAnswers) {
+  std::atomic<int> Wrong{0};
+  std::vector<std::thread> Callers;
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
+    Callers.emplace_back([this, &Wrong, Caller] {
+      httplib::Client Client("127.0.0.1", Port_);
+      Client.set_keep_alive(true);
+      Client.set_tcp_nodelay(true);
+      for (int Count = 0; Count < 30; ++Count) {
+        const std::string Path =
+            "/lists/" + std::to_string(Caller) + "-" + std::to_string(Count);
+        const httplib::Result Got = Client.Get(Path);
+        if (!Got || Got->status != 200 || Got->body != Path + " ")
+          ++Wrong;
+      }
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  CHECK_EQUAL(0, Wrong.load());
+}
+
+// Guards against a bound request that several resends at once run twice.
+TEST(RequestDriver, ResendsAtOnceRunOnce) {
+  httplib::Client Asker("127.0.0.1", Port_);
+  const httplib::Result Asked =
+      Asker.Get("/.kumquatpitch/addresses?service=ledger");
+  CHECK(Asked);
+  const std::size_t At = Asked->body.find("\"token\":\"") + 9;
+  const std::string Token =
+      Asked->body.substr(At, Asked->body.find('"', At) - At);
+  std::vector<std::thread> Callers;
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
+    Callers.emplace_back([this, &Token] {
+      httplib::Client Client("127.0.0.1", Port_);
+      Client.Post("/deposits",
+                  {{"Kumquatpitch-Token", Token},
+                   {"Kumquatpitch-Request-Id", "deposit-1"}},
+                  "x", "text/plain");
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  CHECK_EQUAL(1, Runs_.load());
+}
+
+TEST(RequestDriver, RefusesTooLargeBodiesBeforeTheyArrive) {
+  httplib::Client Client("127.0.0.1", Port_);
+  const httplib::Result Got =
+      Client.Post("/deposits", std::string(1'001, 'x'), "text/plain");
+  CHECK(Got);
+  CHECK_EQUAL(413, Got->status);
+  CHECK_EQUAL(0, Runs_.load());
+}
--- a/test/request-process-test.cc
+++ b/test/request-process-test.cc
@@ -77,8 +77,10 @@
 TEST(RequestProcess, EachOfManyCallersGetsItsOwnAnswer) {
   TestFleet &Fleet = sharedFleet();
   std::atomic<int> Wrong{0};
+  constexpr int CallerCount = 8;
   std::vector<std::thread> Callers;
-  for (int Caller = 0; Caller < 8; ++Caller)
+  Callers.reserve(CallerCount);
+  for (int Caller = 0; Caller < CallerCount; ++Caller)
     Callers.emplace_back([&Fleet, &Wrong, Caller] {
       httplib::Client Client("127.0.0.1", Fleet.customerPort(Caller % 3));
       Client.set_keep_alive(true);
@@ -86,11 +88,13 @@
       for (int Count = 0; Count < 50; ++Count) {
         const std::string Name =
             std::to_string(Caller) + "-" + std::to_string(Count);
-        const httplib::Result Got =
-            Client.Get("/proofs/" + Name, {{"X-Caller", Name}});
+        std::string Path = "/proofs/";
+        Path.append(Name);
+        std::string Own = Path;
+        Own.append(" ").append(Name).append(" ");
+        const httplib::Result Got = Client.Get(Path, {{"X-Caller", Name}});
         if (!Got || Got->status != 200 ||
-            Got->body.find("/proofs/" + Name + " " + Name + " ") ==
-                std::string::npos)
+            Got->body.find(Own) == std::string::npos)
           ++Wrong;
       }
     });
