--- a/test/child-process.h
+++ b/test/child-process.h
@@ -22,6 +22,9 @@
   ChildProcess &operator=(const ChildProcess &) = delete;
   ChildProcess &operator=(ChildProcess &&) = delete;
 
+  /// Process id; 0 after the end was seen.
+  pid_t id() const { return Pid_; }
+
   void signal(int Number) const;
 
   /// Waits for the end; gives the exit status, or minus the signal's number.
--- a/test/test-fleet.h
+++ b/test/test-fleet.h
@@ -82,6 +82,7 @@
   int hostInProgress(int Index);
 
   int customerPort(int Index) const { return Ports_.at(Index).Customer_; }
+  int backendPort(int Index) const { return BackendPorts_.at(Index); }
   int operatorPort(int Index) const { return Ports_.at(Index).Operator_; }
   std::string backendName(int Index) const;
   const std::filesystem::path &directory() const { return Directory_; }
