--- a/bench/detection-model-run.h
+++ b/bench/detection-model-run.h
@@ -132,12 +132,13 @@
   for (const Decision &Each : At.Policy_->tick(Next.Due_, Now_))
     apply(Next.Host_, Each);
   push(Now_ + Settings_.Tick_, Next);
-  for (const auto &[Key, Evidence] : At.Policy_->reports(Now_))
+  for (const std::pair<const TargetKey, TargetEvidence> &Report :
+       At.Policy_->reports(Now_))
     for (std::size_t Peer = 0; Peer < HostCount; ++Peer)
       if (Peer != Next.Host_ && !At.PeersCut_ && !Hosts_[Peer].PeersCut_) {
-        Messages_[NextMessage_] = {Next.Host_, Evidence};
+        Messages_[NextMessage_] = {Next.Host_, Report.second};
         push(Now_ + Settings_.PeerDelay_,
-             {EventKind::Report, Peer, Key, NextMessage_++});
+             {EventKind::Report, Peer, Report.first, NextMessage_++});
       }
   for (std::size_t S = 0; S < Targets_.size(); ++S)
     dispatch(Next.Host_, S);
--- a/bench/health-policy.h
+++ b/bench/health-policy.h
@@ -22,7 +22,7 @@
   std::size_t Service_ = 0;
   std::size_t Target_ = 0;
 
-  auto operator<=>(const TargetKey &) const = default;
+  std::strong_ordering operator<=>(const TargetKey &) const = default;
 };
 
 enum class DecisionKind : std::uint8_t { Eject, CloseConnections };
@@ -120,8 +120,9 @@
   std::map<TargetKey, TargetEvidence> reports(TimePoint Now) override {
     std::map<TargetKey, TargetEvidence> Reports;
     for (std::size_t S = 0; S < Services_.size(); ++S)
-      for (const auto &[Id, Evidence] : Services_[S].evidenceToReport(Now))
-        Reports[{S, indexOf(Id)}] = Evidence;
+      for (const std::pair<const TargetId, TargetEvidence> &Of :
+           Services_[S].evidenceToReport(Now))
+        Reports[{S, indexOf(Of.first)}] = Of.second;
     return Reports;
   }
 
@@ -254,8 +255,8 @@
   std::vector<Decision> tick(TimePoint Expected, TimePoint Now) override {
     if (Now - IntervalStart_ >= std::chrono::seconds(10)) {
       IntervalStart_ = Now;
-      for (const auto &[Service, Count] : Counts_)
-        markOutliers(Service);
+      for (const std::pair<const std::size_t, std::size_t> &Each : Counts_)
+        markOutliers(Each.first);
     }
     const std::vector<Decision> Decisions = BaselinePolicy::tick(Expected, Now);
     for (std::pair<const TargetKey, State> &Each : Targets_)
--- a/include/kumquatpitch/document-store.h
+++ b/include/kumquatpitch/document-store.h
@@ -20,7 +20,7 @@
   std::string Name_;
   std::string Hash_;
 
-  auto operator<=>(const DocumentId &) const = default;
+  std::strong_ordering operator<=>(const DocumentId &) const = default;
 };
 
 /// Why a document is not in force. The last good one stays.
--- /dev/null
+++ b/src/host-core-peers.cc
@@ -0,0 +1,155 @@
+// What HostCore tells other hosts and takes from them: heartbeats, target
+// reports, quota and configuration. See host-core.h.
+
+#include "kumquatpitch/host-core.h"
+
+#include <algorithm>
+
+namespace kumquatpitch {
+
+/// Spreads a drain marker, so that the whole group sends no new work there.
+void HostCore::tellOfDraining(FlowId Flow) {
+  const std::optional<AttemptPlace> Place = Flow_.placeOf(Flow);
+  if (Place)
+    tellGroup(*Place->Service_,
+              ReportMessage{Place->Service_->entry().Service_, Place->Target_,
+                            0, false, std::nullopt, true});
+}
+
+void HostCore::askForQuota(ServiceRuntime &Service, TimePoint Now) {
+  if (!Service.isAssigned())
+    return;
+  for (const AddressedAsk &Each : Service.quota().tick(Now))
+    if (Peers_.hearsUs(Each.To_, Now))
+      Exchange_.send(Each.To_,
+                     QuotaAskMessage{Service.entry().Service_, Each.Ask_});
+}
+
+void HostCore::reportTargets(TimePoint Now) {
+  constexpr double MilliPerUnit = 1'000;
+  constexpr double MaxScore = 1'000;
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->isAssigned())
+      continue;
+    for (const std::pair<const TargetId, TargetEvidence> &Of :
+         Each.second->health().evidenceToReport(Now))
+      tellGroup(*Each.second,
+                ReportMessage{
+                    Each.first, Of.first,
+                    static_cast<std::uint64_t>(
+                        std::min(Of.second.OwnScore_, MaxScore) * MilliPerUnit),
+                    Of.second.Suspects_, Of.second.SinceAnsweredStart_, false});
+  }
+}
+
+void HostCore::tellGroup(const ServiceRuntime &Service, const PeerBody &Body) {
+  for (const GroupMember &Member : Service.config().Group_.Members_)
+    if (Member.Host_ != Self_.Id_)
+      Exchange_.send(Member.Host_, Body);
+}
+
+/// Tells a host that was not there, or did not hear this one, when a drain
+/// marker was spread.
+void HostCore::tellOfMissedDraining(const HostId &Host) {
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->config().Group_.contains(Host))
+      continue;
+    for (const TargetId &Target : Each.second->health().marked())
+      Exchange_.send(Host, ReportMessage{Each.first, Target, 0, false,
+                                         std::nullopt, true});
+  }
+}
+
+CoreActions HostCore::onReport(const HostId &From, const ReportMessage &Report,
+                               TimePoint Now) {
+  constexpr double MilliPerUnit = 1'000;
+  const ServiceMap::iterator It = Services_.find(Report.Service_);
+  if (It == Services_.end() || !It->second->config().Group_.contains(From))
+    return {};
+  if (Report.Draining_)
+    It->second->markDraining(Report.Target_, Now);
+  else
+    It->second->health().peerReport(
+        From, Report.Target_,
+        TargetEvidence{static_cast<double>(Report.ScoreMilli_) / MilliPerUnit,
+                       Report.Suspects_, Report.SinceAnsweredStart_},
+        Now);
+  return {};
+}
+
+CoreActions HostCore::onQuotaAsk(const HostId &From,
+                                 const QuotaAskMessage &Message,
+                                 TimePoint Now) {
+  const ServiceMap::iterator It = Services_.find(Message.Service_);
+  if (It == Services_.end() || !It->second->config().Group_.contains(From))
+    return {};
+  const std::optional<QuotaGrant> Grant =
+      It->second->quota().onAsk(From, Message.Ask_, Now);
+  if (Grant)
+    Exchange_.send(From, QuotaGrantMessage{Message.Service_, *Grant});
+  return {};
+}
+
+void HostCore::sendHeartbeats(TimePoint Now) {
+  HeartbeatMessage Beat = Peers_.nextHeartbeat(Flow_.registry().issueEpoch(Now),
+                                               IsLeaving_, Sync_.state(), Now);
+  for (const HostId &Peer : GroupPeers_) {
+    // A peer looks for itself only; naming all others to each of them makes
+    // the bytes grow with the square of the count of peers.
+    Beat.Heard_.clear();
+    if (Peers_.heard(Peer, Now))
+      Beat.Heard_.push_back(Peer);
+    Exchange_.send(Peer, Beat);
+  }
+}
+
+CoreActions HostCore::receivePeer(std::string_view Bytes,
+                                  const std::string &Sender, TimePoint Now) {
+  return handleFailure(
+      [&]() -> Result<CoreActions> {
+        BOOST_LEAF_AUTO(Message, Exchange_.receive(Bytes, Sender));
+        return dispatch(Message, Now);
+      },
+      [&](const Failure &Cause) {
+        Log_.log(LogLevel::Warning, "peers",
+                 "message dropped: " + Cause.Message_);
+        return CoreActions();
+      });
+}
+
+CoreActions HostCore::dispatch(const PeerMessage &Message, TimePoint Now) {
+  if (const HeartbeatMessage *Beat =
+          std::get_if<HeartbeatMessage>(&Message.Body_)) {
+    const bool HeardUs = Peers_.hearsUs(Message.From_, Now);
+    const HeartbeatResult Taken = Peers_.onHeartbeat(
+        Message.From_, Message.Incarnation_, Message.Sequence_, *Beat, Now);
+    const bool IsNew = Taken == HeartbeatResult::Accepted ||
+                       Taken == HeartbeatResult::NewIncarnation;
+    if (Taken == HeartbeatResult::NewIncarnation ||
+        (!HeardUs && Peers_.hearsUs(Message.From_, Now)))
+      tellOfMissedDraining(Message.From_);
+    if (IsNew)
+      return applyConfig(Sync_.onHeartbeat(Message.From_, Beat->Config_, Now),
+                         Now);
+  }
+  if (const ReportMessage *Report = std::get_if<ReportMessage>(&Message.Body_))
+    return onReport(Message.From_, *Report, Now);
+  if (const QuotaAskMessage *Ask = std::get_if<QuotaAskMessage>(&Message.Body_))
+    return onQuotaAsk(Message.From_, *Ask, Now);
+  if (const QuotaGrantMessage *Grant =
+          std::get_if<QuotaGrantMessage>(&Message.Body_)) {
+    const ServiceMap::iterator It = Services_.find(Grant->Service_);
+    if (It != Services_.end())
+      It->second->quota().onGrant(Message.From_, Grant->Grant_, Now);
+    return {};
+  }
+  if (const DigestMessage *Digest = std::get_if<DigestMessage>(&Message.Body_))
+    return applyConfig(Sync_.onDigest(Message.From_, *Digest, Now), Now);
+  if (const PullMessage *Pull = std::get_if<PullMessage>(&Message.Body_))
+    return applyConfig(Sync_.onPull(Message.From_, *Pull, Now), Now);
+  if (const PartMessage *Part = std::get_if<PartMessage>(&Message.Body_))
+    return applyConfig(Sync_.onPeerPart(Message.From_, *Part, Now), Now);
+  return {};
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/host-core-report.cc
@@ -0,0 +1,100 @@
+// What HostCore tells callers and operators of itself: address responses,
+// status and metrics. See host-core.h.
+
+#include "kumquatpitch/assignment.h"
+#include "kumquatpitch/host-core.h"
+#include "kumquatpitch/metrics-format.h"
+
+namespace kumquatpitch {
+
+Result<AddressAnswer> HostCore::addresses(const CustomerName &Customer,
+                                          const ServiceName &Service,
+                                          TimePoint Now) {
+  if (!Sync_.isReady(Now))
+    return fail(ResultCode::NotReady, "no configuration yet");
+  const Contract *Terms = findContract(*Sync_.catalog(), Customer);
+  if (!Terms || !findTerms(*Terms, Service))
+    return fail(ResultCode::ServiceUnknown,
+                "the contract names no such service");
+  const ServiceRuntime &Served = *Services_.at(Service);
+  AddressAnswer Answer{Service, Sync_.catalog()->Version_, {}};
+  for (const GroupMember &Member : addressOrder(
+           Served.config().Group_, callerWeights(Served, Now), Random_))
+    if (!isKnownLeaving(Member.Host_))
+      Answer.Hosts_.push_back(
+          AddressOption{Member.Host_, Member.Domain_, Member.Address_,
+                        tokenFor(Member.Host_, Service, Now)});
+  return Answer;
+}
+
+std::string HostCore::tokenFor(const HostId &Host, const ServiceName &Service,
+                               TimePoint Now) {
+  if (Host == Self_.Id_)
+    return formatToken(Flow_.registry().issueToken(Service, Now));
+  const std::optional<Incarnation> Run = Peers_.incarnationOf(Host);
+  const std::optional<std::uint64_t> Epoch = Peers_.epochOf(Host);
+  if (!Run || !Epoch)
+    return "";
+  return formatToken(RequestToken{Service, Host, *Run, *Epoch});
+}
+
+/// Weights of the plan; hosts that this one does not hear come last. It may be
+/// this host that is cut off, so they are not left out.
+HostWeights HostCore::callerWeights(const ServiceRuntime &Service,
+                                    TimePoint Now) const {
+  HostWeights Weights = Service.plan().weights();
+  if (!Service.isAssigned())
+    return Weights;
+  for (HostWeights::value_type &Each : Weights)
+    if (Each.first != Self_.Id_ && !Peers_.heard(Each.first, Now))
+      Each.second = 0;
+  return Weights;
+}
+
+bool HostCore::isKnownLeaving(const HostId &Host) const {
+  if (Host == Self_.Id_)
+    return IsLeaving_;
+  const HostRecord *Listed = findHost(Hosts_, Host);
+  return Peers_.isLeaving(Host) ||
+         (Listed && Listed->State_ == HostState::Leaving);
+}
+
+HostStatus HostCore::status(TimePoint Now) const {
+  HostStatus Status;
+  Status.Host_ = Self_.Id_;
+  Status.Incarnation_ = Self_.Incarnation_;
+  Status.Region_ = Self_.Region_;
+  Status.Domain_ = Self_.Domain_;
+  Status.ConfigVersion_ = Sync_.catalog()->Version_;
+  Status.Ready_ = isReady(Now);
+  Status.Leaving_ = IsLeaving_;
+  Status.UpFor_ = Now - Start_;
+  for (const ServiceMap::value_type &Each : Services_) {
+    if (!Each.second->isAssigned())
+      continue;
+    Status.Services_.push_back(Each.second->status(Now));
+    Status.Burn_.push_back(Each.second->burn().snapshot(Now));
+  }
+  for (const Refusal &Each : Sync_.refusals())
+    Status.Refusals_.push_back(RefusalStatus{Each.Document_,
+                                             Each.ManifestVersion_, Each.Code_,
+                                             Each.Message_, Duration()});
+  for (const HostId &Peer : GroupPeers_)
+    Status.Peers_.push_back(peerStatus(Peer, Now));
+  return Status;
+}
+
+PeerStatus HostCore::peerStatus(const HostId &Peer, TimePoint Now) const {
+  PeerStatus Status;
+  Status.Host_ = Peer;
+  if (Peers_.heard(Peer, Now))
+    Status.Direction_ = Peers_.hearsUs(Peer, Now) ? PeerDirection::Both
+                                                  : PeerDirection::OnlyFrom;
+  return Status;
+}
+
+std::string HostCore::metricsText(TimePoint Now) const {
+  return formatMetrics(Metrics_.snapshot(Now), status(Now));
+}
+
+} // namespace kumquatpitch
--- a/src/host-fault-monitor.cc
+++ b/src/host-fault-monitor.cc
@@ -56,13 +56,15 @@
 
 std::size_t HostFaultMonitor::servicesWithManyBad(TimePoint Now) const {
   std::size_t Services = 0;
-  for (const auto &[Service, Bad] : TurnedBad_) {
+  for (const std::pair<const ServiceName, std::map<TargetId, TimePoint>> &Of :
+       TurnedBad_) {
+    const std::map<TargetId, TimePoint> &Bad = Of.second;
     const auto IsRecent = [&](const auto &Each) {
       return Each.second + Window >= Now;
     };
     const std::size_t BadCount =
         std::count_if(Bad.begin(), Bad.end(), IsRecent);
-    const std::size_t Count = TargetCounts_.at(Service);
+    const std::size_t Count = TargetCounts_.at(Of.first);
     if (TargetCounts_.size() == 1)
       return Count >= LeastTargetsOfSingleService && BadCount >= Count ? 1 : 0;
     Services += BadCount > 0 && 2 * BadCount >= Count ? 1 : 0;
--- a/src/metrics-format.cc
+++ b/src/metrics-format.cc
@@ -90,10 +90,12 @@
   Out.begin("requests_total", "counter",
             "Requests by result code and outcome.");
   for (const ServiceMetrics &Each : Counted.Services_)
-    for (const auto &[Kind, Count] : Each.Requests_) {
+    for (const std::pair<const std::pair<ResultCode, Outcome>, std::uint64_t>
+             &Counts : Each.Requests_) {
       const Labels Base = extended(labelsOf(Each.Customer_, Each.Service_),
-                                   "code", resultCodeName(Kind.first));
-      Out.line(extended(Base, "outcome", outcomeName(Kind.second)), Count);
+                                   "code", resultCodeName(Counts.first.first));
+      Out.line(extended(Base, "outcome", outcomeName(Counts.first.second)),
+               Counts.second);
     }
   Out.begin("attempts_total", "counter",
             "Attempts at backend servers by how they ended.");
