--- a/test/fault-matrix-test.cc
+++ b/test/fault-matrix-test.cc
@@ -439,10 +439,8 @@
   Report.finish("pairs");
 }
 
-TEST(FaultMatrix, OneCell) {
-  const char *Given = std::getenv("FAULT_MATRIX_CELL");
-  if (!Given)
-    return;
+/// Reads a cell from `SEED STEP FAULT [STEP FAULT]` and runs it.
+static void runNamedCell(const char *Given) {
   std::istringstream Words(Given);
   std::uint64_t Seed = 1;
   Words >> Seed;
@@ -456,3 +454,17 @@
   Report.run(Seed, Cell);
   Report.finish(Given);
 }
+
+TEST(FaultMatrix, OneCell) {
+  if (const char *Given = std::getenv("FAULT_MATRIX_CELL"))
+    runNamedCell(Given);
+}
+
+// Guards against a host that restarts during a loss and still asks for
+// documents too rarely when the loss is over. Failed with pauses of up to 5 s.
+TEST(FaultMatrix, RestartsDuringALossConverge) {
+  runNamedCell("298 ejected loss-out reinstated host-kill");
+  runNamedCell(
+      "129 before-first-byte cut-messages before-first-byte host-kill");
+  runNamedCell("654 quota-credited host-kill quota-credited loss-out");
+}
--- a/test/request-process-test.cc
+++ b/test/request-process-test.cc
@@ -102,3 +102,21 @@
     Each.join();
   CHECK_EQUAL(0, Wrong.load());
 }
+
+// Guards against kept connections that went silent and hold up callers while
+// new connections to the same backend server work.
+TEST(RequestProcess, CallersAreServedWhenKeptConnectionsGoSilent) {
+  TestFleet &Fleet = sharedFleet();
+  for (int Count = 0; Count < 20; ++Count)
+    TestFleet::call(Fleet.customerPort(0), "GET", "/proofs/warm");
+  Fleet.setBackendMode(0, "silent");
+  int Wrong = 0;
+  for (int Count = 0; Count < 60; ++Count)
+    Wrong +=
+        TestFleet::call(Fleet.customerPort(0), "GET", "/proofs/1").Status_ ==
+                200
+            ? 0
+            : 1;
+  CHECK_EQUAL(0, Wrong);
+  Fleet.setBackendMode(0, "normal");
+}
