Let hosts without a part of a small service get ready

Cause: readiness asked each assigned service for usable slots and permits. A host whose part of a service with fewer slots or permits than group members is none would have answered 503 for ever. Ruled out: asking on each call, since a host that lent all its permits would turn unready under load; a service counts as settled from the first time on.

--- a/include/kumquatpitch/service-runtime.h
+++ b/include/kumquatpitch/service-runtime.h
@@ -54,8 +54,9 @@
     return Plan_.ownSlots(Self_, Target).Slots_;
   }
 
-  /// True when this host has slots and permits that it may use now.
-  bool isServing(TimePoint Now);
+  /// True from when this host may use its slots and permits for the first time.
+  /// A host whose part of a small service is none has nothing to wait for.
+  bool isSettled(TimePoint Now);
 
   /// False when the target starts, leaves or drains.
   bool acceptsWork(const TargetId &Target) const {
@@ -128,6 +129,7 @@
   ServiceConfig Config_;
   const HostId Self_;
   bool IsAssigned_ = false;
+  bool HasSettled_ = false;
   SlotPlan Plan_;
   OwnSlots Slots_;
   SlotShares Usable_; ///< As handed to Picker_ and Health_.
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -68,7 +68,7 @@
   return std::none_of(Services_.begin(), Services_.end(),
                       [Now](const ServiceMap::value_type &Each) {
                         return Each.second->isAssigned() &&
-                               !Each.second->isServing(Now);
+                               !Each.second->isSettled(Now);
                       });
 }
 
--- a/src/service-runtime.cc
+++ b/src/service-runtime.cc
@@ -51,6 +51,13 @@
   return Members;
 }
 
+std::uint32_t countSlots(const SlotShares &Shares) {
+  std::uint32_t Slots = 0;
+  for (const SlotShares::value_type &Each : Shares)
+    Slots += Each.second.Slots_;
+  return Slots;
+}
+
 /// One host's part of the contract's queue, at least one place if there is a
 /// queue at all.
 QueueTerms queueShare(const QueueTerms &Terms, const Group &Hosts) {
@@ -90,18 +97,20 @@
   for (const SlotShares::value_type &Each : Usable_)
     Counts.emplace(Each.first, Each.second.Slots_);
   Health_.setEntry(entry(), Counts, Now);
-  std::uint32_t Slots = 0;
-  for (const SlotShares::value_type &Each : Usable_)
-    Slots += Each.second.Slots_;
-  Queue_.setTerms(queueShare(terms().Queue_, Config_.Group_), Slots);
+  Queue_.setTerms(queueShare(terms().Queue_, Config_.Group_),
+                  countSlots(Usable_));
 }
 
-bool ServiceRuntime::isServing(TimePoint Now) {
-  return Quota_.usablePermits(Now) > 0 &&
-         std::any_of(Usable_.begin(), Usable_.end(),
-                     [](const SlotShares::value_type &Each) {
-                       return Each.second.Slots_ > 0;
-                     });
+bool ServiceRuntime::isSettled(TimePoint Now) {
+  if (HasSettled_)
+    return true;
+  const SlotShares Planned = Plan_.ownShares(Self_);
+  const bool HasSlots = countSlots(Planned) == 0 || countSlots(Usable_) > 0;
+  const bool HasPermits =
+      terms().InProgress_ < Config_.Group_.Members_.size() ||
+      Quota_.usablePermits(Now) > 0;
+  HasSettled_ = HasSlots && HasPermits;
+  return HasSettled_;
 }
 
 std::optional<TargetId>
