Sort and check unique keys of published lists in one place

Host list, service entry and manifest each sorted their elements and looked for doubled keys with the same code. One function of the JSON reader serves the three now.

--- a/include/kumquatpitch/json-reader.h
+++ b/include/kumquatpitch/json-reader.h
@@ -8,6 +8,7 @@
 #include "kumquatpitch/result.h"
 #include "kumquatpitch/time-point.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -15,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace kumquatpitch::detail {
 
@@ -77,6 +79,31 @@
 /// MaxDocumentBytes, nesting of at most 16.
 Result<nlohmann::json> parseJsonObject(std::string_view Json);
 
+inline const std::string &keyText(const std::string &Key) { return Key; }
+template <class Tag> const std::string &keyText(const Name<Tag> &Key) {
+  return Key.str();
+}
+
+/// Sorts elements by a key member and rejects keys that are there twice.
+/// `Field` and `KeyName` name the list and the key in the message.
+template <class Element, class Key>
+void sortByUniqueKey(JsonReader &Reader, std::vector<Element> &Elements,
+                     Key Element::*Member, const char *Field,
+                     const char *KeyName) {
+  std::sort(Elements.begin(), Elements.end(),
+            [Member](const Element &Left, const Element &Right) {
+              return Left.*Member < Right.*Member;
+            });
+  const typename std::vector<Element>::const_iterator It =
+      std::adjacent_find(Elements.begin(), Elements.end(),
+                         [Member](const Element &Left, const Element &Right) {
+                           return Left.*Member == Right.*Member;
+                         });
+  if (It != Elements.end())
+    Reader.reject(Field, std::string(KeyName) + " \"" + keyText((*It).*Member) +
+                             "\" is there twice");
+}
+
 /// Parses `Json` and reads it with `Read`. Fails with DocumentInvalid when the
 /// reader holds a problem afterwards.
 template <class T>
--- a/src/host-list.cc
+++ b/src/host-list.cc
@@ -43,17 +43,7 @@
   Reader.objects("hosts", 0, MaxHosts, [&](JsonReader &Element) {
     Read.Hosts_.push_back(readHost(Element));
   });
-  const auto ById = [](const HostRecord &Left, const HostRecord &Right) {
-    return Left.Id_ < Right.Id_;
-  };
-  std::sort(Read.Hosts_.begin(), Read.Hosts_.end(), ById);
-  const auto SameId = [](const HostRecord &Left, const HostRecord &Right) {
-    return Left.Id_ == Right.Id_;
-  };
-  const std::vector<HostRecord>::const_iterator It =
-      std::adjacent_find(Read.Hosts_.begin(), Read.Hosts_.end(), SameId);
-  if (It != Read.Hosts_.end())
-    Reader.reject("hosts", "id \"" + It->Id_.str() + "\" is there twice");
+  detail::sortByUniqueKey(Reader, Read.Hosts_, &HostRecord::Id_, "hosts", "id");
   return Read;
 }
 
--- a/src/manifest.cc
+++ b/src/manifest.cc
@@ -46,21 +46,6 @@
   return Read;
 }
 
-void sortParts(JsonReader &Reader, Manifest &Read) {
-  const auto ByName = [](const ManifestPart &Left, const ManifestPart &Right) {
-    return Left.Name_ < Right.Name_;
-  };
-  std::sort(Read.Parts_.begin(), Read.Parts_.end(), ByName);
-  const auto SameName = [](const ManifestPart &Left,
-                           const ManifestPart &Right) {
-    return Left.Name_ == Right.Name_;
-  };
-  const std::vector<ManifestPart>::const_iterator It =
-      std::adjacent_find(Read.Parts_.begin(), Read.Parts_.end(), SameName);
-  if (It != Read.Parts_.end())
-    Reader.reject("parts", "name \"" + It->Name_ + "\" is there twice");
-}
-
 Manifest readManifest(JsonReader &Reader) {
   Manifest Read;
   Reader.number("format", FormatVersion, FormatVersion);
@@ -68,7 +53,8 @@
   Reader.objects("parts", 0, MaxParts, [&](JsonReader &Element) {
     Read.Parts_.push_back(readPart(Element));
   });
-  sortParts(Reader, Read);
+  detail::sortByUniqueKey(Reader, Read.Parts_, &ManifestPart::Name_, "parts",
+                          "name");
   return Read;
 }
 
--- a/src/service-entry.cc
+++ b/src/service-entry.cc
@@ -60,17 +60,7 @@
   Reader.objects("targets", 1, MaxTargets, [&](JsonReader &Element) {
     Read.Targets_.push_back(readTarget(Element));
   });
-  const auto ById = [](const Target &Left, const Target &Right) {
-    return Left.Id_ < Right.Id_;
-  };
-  std::sort(Read.Targets_.begin(), Read.Targets_.end(), ById);
-  const auto SameId = [](const Target &Left, const Target &Right) {
-    return Left.Id_ == Right.Id_;
-  };
-  const std::vector<Target>::const_iterator It =
-      std::adjacent_find(Read.Targets_.begin(), Read.Targets_.end(), SameId);
-  if (It != Read.Targets_.end())
-    Reader.reject("targets", "id \"" + It->Id_.str() + "\" is there twice");
+  detail::sortByUniqueKey(Reader, Read.Targets_, &Target::Id_, "targets", "id");
 }
 
 ServiceEntry readEntry(JsonReader &Reader) {
