Add the gateway: a host on the platform, through platform/

Cause: the users' platform has its own store, routes by host and path, and directory; the daemon so far met none of them. The gateway command serves callers through a core that chooses routes, targets and resends, follows the store with one reader in each failure domain, finds its peers from seeds, and adapts names and formats in platform/. Ruled out: the worker threads of the existing front, which answer pipelined requests one at a time and cannot see late or extra answers.

--- /dev/null
+++ b/include/kumquatpitch/caller-hosts.h
@@ -0,0 +1,30 @@
+// Which hosts callers of a virtual host are told to use: a few of the caller's
+// own failure domain, the same on every host that answers, so that few hosts
+// share the slots of a service. Pure functions.
+
+#ifndef KUMQUATPITCH_CALLER_HOSTS_H
+#define KUMQUATPITCH_CALLER_HOSTS_H
+
+#include "kumquatpitch/host-membership.h"
+
+#include <string_view>
+#include <vector>
+
+namespace kumquatpitch {
+
+/// One host in this many of a failure domain serves a virtual host's callers.
+constexpr std::size_t HostsPerCallerHost = 8;
+/// Fewest and most hosts in an answer, where there are so many.
+constexpr std::size_t LeastCallerHosts = 2;
+constexpr std::size_t MostCallerHosts = 64;
+
+/// Hosts for the callers of `VirtualHost` in `Domain`, most preferred first.
+/// Hosts of other domains, of the region first, stand in for missing ones.
+std::vector<Member> callerHosts(const std::vector<Member> &Members,
+                                std::string_view VirtualHost,
+                                const FailureDomain &Domain,
+                                const Region &OfRegion);
+
+} // namespace kumquatpitch
+
+#endif
--- a/include/kumquatpitch/command.h
+++ b/include/kumquatpitch/command.h
@@ -9,6 +9,9 @@
 /// `serve --config FILE`: runs the daemon of an entry host until SIGTERM.
 int runServe(int Argc, char **Argv);
 
+/// `gateway --config FILE`: runs a host on the platform until SIGTERM.
+int runGateway(int Argc, char **Argv);
+
 /// `check FILE...`: checks settings and published documents offline.
 int runCheck(int Argc, char **Argv);
 
--- /dev/null
+++ b/include/kumquatpitch/target-balancer.h
@@ -0,0 +1,123 @@
+// Chooses the target of each request of one service, from the host's own
+// requests in progress, the load that answers report, latencies and failures.
+// Failing targets are ejected for a while, within the service's floor. Driven
+// by GatewayCore. Pure.
+
+#ifndef KUMQUATPITCH_TARGET_BALANCER_H
+#define KUMQUATPITCH_TARGET_BALANCER_H
+
+#include "kumquatpitch/random-source.h"
+#include "kumquatpitch/target-directory.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace kumquatpitch {
+
+/// Load that a target reports with an answer.
+struct ReportedLoad {
+  std::uint32_t Running_ = 0;
+  std::uint32_t Waiting_ = 0;
+
+  bool operator==(const ReportedLoad &) const = default;
+};
+
+/// What an attempt showed about its target.
+enum class AttemptEvidence : std::uint8_t {
+  Answered,    ///< It ran the request and answered with success.
+  Failed,      ///< It answered with a failure, broke off or sent garbage.
+  Unreachable, ///< No connection could be made.
+  Refused,     ///< It refused the request without running it.
+  Silent,      ///< No answer when the attempt was given up.
+  None,        ///< The caller left or the answer says nothing.
+};
+
+struct PickTerms {
+  std::set<TargetId> Tried_;
+  bool MayRepeat_ = false; ///< A failure could be made good by a resend.
+
+  bool operator==(const PickTerms &) const = default;
+};
+
+/// A chosen target and the time after which an answer is expected.
+struct TargetPick {
+  TargetEntry Target_;
+  Duration Expected_{};
+  bool IsTrial_ = false; ///< The target is ejected and gets a trial request.
+
+  bool operator==(const TargetPick &) const = default;
+};
+
+class TargetBalancer {
+public:
+  TargetBalancer(FailureDomain OwnDomain, double FloorShare)
+      : OwnDomain_(std::move(OwnDomain)), FloorShare_(FloorShare) {}
+
+  /// Takes the service's current targets.
+  void setTargets(const std::vector<TargetEntry> &Targets, TimePoint Now);
+
+  /// Chooses a target; none when no target is known besides tried ones.
+  std::optional<TargetPick> pick(const PickTerms &Terms, TimePoint Now,
+                                 RandomSource &Random);
+
+  /// An attempt was sent.
+  void attemptStarted(const TargetId &Id, TimePoint Now);
+
+  /// An attempt ended. `Latency` counts only with Answered.
+  void attemptEnded(const TargetId &Id, TimePoint StartedAt,
+                    AttemptEvidence Evidence, Duration Latency,
+                    std::optional<ReportedLoad> Load, TimePoint Now);
+
+  /// A peer saw a target fail (or answer a trial).
+  void peerEvidence(const TargetId &Id, bool Failed, TimePoint Now);
+
+  bool isEjected(const TargetId &Id, TimePoint Now) const;
+
+  /// Usual time from sending a request to its answer.
+  Duration typicalLatency() const {
+    return Duration(static_cast<Duration::rep>(Mean_));
+  }
+
+  std::size_t size() const { return States_.size(); }
+  std::size_t ejectedCount(TimePoint Now) const;
+
+  /// Time until the target that is free first is expected to be free.
+  Duration expectedRoom(TimePoint Now) const;
+
+private:
+  struct State {
+    TargetEntry Entry_;
+    TimePoint KnownSince_;
+    std::multiset<TimePoint> Running_; ///< Starts of own attempts.
+    double Foreign_ = 0;  ///< Requests of other hosts, as last reported.
+    TimePoint ForeignAt_; ///< When it was reported.
+    double Latency_ = 0;  ///< Decayed mean, microseconds; 0 while unknown.
+    TimePoint LatencyAt_;
+    std::uint32_t Failures_ = 0; ///< In a row.
+    TimePoint FailedAt_;
+    TimePoint EjectedUntil_;
+    bool Ejected_ = false; ///< Stays set until a trial succeeds.
+    bool OnTrial_ = false; ///< A trial request is in progress.
+    TimePoint RefusingUntil_;
+  };
+
+  double load(const State &Each, TimePoint Now) const;
+  double expected(const State &Each, TimePoint Now) const;
+  bool isSilent(const State &Each, TimePoint Now) const;
+  bool mayTry(const State &Each, const PickTerms &Terms, TimePoint Now) const;
+  void eject(State &Each, TimePoint Now);
+  void reinstate(State &Each);
+  void keepFloor(TimePoint Now);
+
+  FailureDomain OwnDomain_;
+  double FloorShare_;
+  std::map<TargetId, State> States_;
+  double Mean_ = 200'000; ///< Decayed mean latency of the service, microseconds.
+  TimePoint RepeatableAt_; ///< When a repeatable request was last placed.
+};
+
+} // namespace kumquatpitch
+
+#endif
--- /dev/null
+++ b/src/gateway-command.cc
@@ -0,0 +1,65 @@
+// The gateway command: runs the daemon of an entry host on the platform. See
+// command.h.
+
+#include "kumquatpitch/command.h"
+#include "kumquatpitch/gateway-daemon.h"
+#include "kumquatpitch/report-options.h"
+#include "platform/platform-adapter.h"
+
+#include <getopt.h>
+#include <iostream>
+
+namespace kumquatpitch {
+
+namespace {
+
+constexpr const char *Usage =
+    "usage: kumquatpitch gateway --config FILE [--check]\n\n"
+    "Runs the daemon of a gateway host with the settings of an INI file.\n"
+    "  --check  check the settings and end\n"
+    "SIGTERM starts the planned stop; SIGHUP reads the settings again.\n";
+
+int runDaemon(const std::string &File, bool OnlyCheck) {
+  return handleFailure(
+      [&]() -> Result<int> {
+        BOOST_LEAF_AUTO(Read, loadGatewaySettings(File));
+        if (OnlyCheck) {
+          std::cout << File << ": ok\n";
+          return 0;
+        }
+        const PlatformAdapter Platform;
+        GatewayDaemon Daemon(std::move(Read), File, Platform);
+        BOOST_LEAF_CHECK(Daemon.run());
+        return 0;
+      },
+      [](const Failure &Cause) { return reportFailure("gateway", Cause); });
+}
+
+} // namespace
+
+int runGateway(int Argc, char **Argv) {
+  static const option Known[] = {{"config", required_argument, nullptr, 'c'},
+                                 {"check", no_argument, nullptr, 'k'},
+                                 {"help", no_argument, nullptr, 'h'},
+                                 {nullptr, 0, nullptr, 0}};
+  std::string File;
+  bool OnlyCheck = false;
+  int Code = 0;
+  while ((Code = getopt_long(Argc, Argv, "c:kh", Known, nullptr)) != -1) {
+    if (Code == 'c') {
+      File = optarg;
+    } else if (Code == 'k') {
+      OnlyCheck = true;
+    } else {
+      (Code == 'h' ? std::cout : std::cerr) << Usage;
+      return Code == 'h' ? 0 : exitStatus(ResultCode::UsageError);
+    }
+  }
+  if (File.empty() || optind != Argc) {
+    std::cerr << Usage;
+    return exitStatus(ResultCode::UsageError);
+  }
+  return runDaemon(File, OnlyCheck);
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/gateway-core.cc
@@ -0,0 +1,275 @@
+// Decisions about requests. See gateway-core.h.
+
+#include "kumquatpitch/gateway-core.h"
+
+#include <algorithm>
+
+namespace kumquatpitch {
+
+namespace {
+
+/// Part of the fleet's resend slack that hosts use; the rest covers hosts whose
+/// views of the fleet's size differ.
+constexpr double UsedSlack = 0.75;
+/// Part of the resend ratio that is used; the rest covers requests that arrive
+/// later than they are counted.
+constexpr double UsedRatio = 0.9;
+/// Attempts that found no connection, besides those that were sent.
+constexpr std::uint32_t MaxUnconnected = 3;
+/// How soon a caller may come back when configuration or targets are missing:
+/// about the time in which they are read.
+constexpr Duration StateRetryAfter = std::chrono::milliseconds(500);
+/// Shortest wait named to a refused caller.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
+/// An answer needs this much of the time left to reach the caller.
+constexpr Duration DeliveryTime = std::chrono::milliseconds(15);
+/// Least time in which a resend has a chance.
+constexpr Duration LeastResendTime = std::chrono::milliseconds(60);
+/// A second target is asked when the first takes this many times the usual.
+constexpr double HedgeFactor = 2.2;
+
+AttemptEvidence evidenceOf(AttemptOutcome Result) {
+  switch (Result) {
+  case AttemptOutcome::Success:
+    return AttemptEvidence::Answered;
+  case AttemptOutcome::Failure:
+  case AttemptOutcome::Broken:
+    return AttemptEvidence::Failed;
+  case AttemptOutcome::Refused:
+    return AttemptEvidence::Refused;
+  case AttemptOutcome::OtherInstance:
+  case AttemptOutcome::NotConnected:
+    return AttemptEvidence::Unreachable;
+  case AttemptOutcome::TimedOut:
+    return AttemptEvidence::Silent;
+  case AttemptOutcome::Cancelled:
+    return AttemptEvidence::None;
+  }
+  return AttemptEvidence::None;
+}
+
+} // namespace
+
+const char *attemptOutcomeName(AttemptOutcome Result) {
+  switch (Result) {
+  case AttemptOutcome::Success:
+    return "success";
+  case AttemptOutcome::Failure:
+    return "failure";
+  case AttemptOutcome::Refused:
+    return "refused";
+  case AttemptOutcome::OtherInstance:
+    return "other_instance";
+  case AttemptOutcome::NotConnected:
+    return "not_connected";
+  case AttemptOutcome::Broken:
+    return "broken";
+  case AttemptOutcome::TimedOut:
+    return "timed_out";
+  case AttemptOutcome::Cancelled:
+    return "cancelled";
+  }
+  return "unknown";
+}
+
+GatewayCore::GatewayCore(GatewayTerms Terms, RandomSource &Random)
+    : Terms_(std::move(Terms)), Random_(Random) {}
+
+void GatewayCore::setTable(std::shared_ptr<const RouteTable> Table) {
+  Table_ = std::move(Table);
+  SplitCredits_.clear();
+}
+
+GatewayCore::Service &GatewayCore::serviceOf(const ServiceName &Name) {
+  return Services_.try_emplace(Name, Terms_).first->second;
+}
+
+void GatewayCore::setTargets(const std::map<TargetId, TargetEntry> &Targets,
+                             TimePoint Now) {
+  std::map<ServiceName, std::vector<TargetEntry>> ByService;
+  for (std::pair<const ServiceName, Service> &Each : Services_)
+    ByService[Each.first];
+  for (const std::pair<const TargetId, TargetEntry> &Each : Targets)
+    ByService[Each.second.Service_].push_back(Each.second);
+  for (const std::pair<const ServiceName, std::vector<TargetEntry>> &Each :
+       ByService)
+    serviceOf(Each.first).Balancer_.setTargets(Each.second, Now);
+}
+
+GatewayRefusal GatewayCore::refuse(ResultCode Code,
+                            std::optional<Duration> RetryAfter) const {
+  return GatewayRefusal{Code, httpStatus(Code), RetryAfter};
+}
+
+const ServiceName &GatewayCore::chooseService(const VirtualRoute &Chosen) {
+  if (Chosen.Shares_.size() == 1)
+    return Chosen.Shares_.front().Service_;
+  double Total = 0;
+  for (const ServiceShare &Each : Chosen.Shares_)
+    Total += Each.Weight_;
+  std::vector<double> &Credits =
+      SplitCredits_[Chosen.Host_ + " " + Chosen.Prefix_];
+  if (Credits.size() != Chosen.Shares_.size()) {
+    // A random phase, so that hosts with few requests each do not all begin
+    // with the same service.
+    const double Phase = static_cast<double>(Random_.below(1'000)) / 1'000;
+    double Rest = 1;
+    Credits.assign(Chosen.Shares_.size(), 0);
+    for (std::size_t Index = 0; Index < Credits.size(); ++Index) {
+      Credits[Index] = Phase * Rest * Total;
+      Rest = -Rest;
+    }
+  }
+  std::size_t Best = 0;
+  for (std::size_t Index = 0; Index < Credits.size(); ++Index) {
+    Credits[Index] += Chosen.Shares_[Index].Weight_;
+    if (Credits[Index] > Credits[Best])
+      Best = Index;
+  }
+  Credits[Best] -= Total;
+  return Chosen.Shares_[Best].Service_;
+}
+
+std::variant<GatewayRefusal, std::shared_ptr<GatewayRequest>>
+GatewayCore::admit(const RequestHead &Head, TimePoint Now) {
+  if (!Table_)
+    return refuse(ResultCode::NotReady, StateRetryAfter);
+  const VirtualRoute *Found = Table_->find(Head.Host_, Head.Path_);
+  if (!Found)
+    return refuse(ResultCode::RouteUnknown, std::nullopt);
+  const std::shared_ptr<GatewayRequest> Request =
+      std::make_shared<GatewayRequest>();
+  Request->Table_ = Table_;
+  Request->Route_ = Found;
+  Request->Service_ = chooseService(*Found);
+  Request->ArrivedAt_ = Now;
+  Duration Left = Found->Timeout_;
+  if (Head.TimeLeft_)
+    Left = std::min(Left, *Head.TimeLeft_);
+  Request->GiveUpAt_ = Now + Left;
+  serviceOf(Request->Service_).Budget_.requestArrived(Now);
+  return Request;
+}
+
+ResendTerms GatewayCore::resendTerms() const {
+  const double Share = UsedSlack * Terms_.ResendSlack_ /
+                       static_cast<double>(std::max<std::size_t>(1, Hosts_));
+  return ResendTerms{Terms_.ResendRatio_ * UsedRatio, Share,
+                     Terms_.ResendWindow_};
+}
+
+GatewayAttempt GatewayCore::start(GatewayRequest &Request, Service &Of,
+                                const TargetPick &Pick, bool IsResend,
+                                TimePoint Now) {
+  GatewayAttempt Order{Pick.Target_, Now, Pick.IsTrial_, IsResend, std::nullopt};
+  Of.Balancer_.attemptStarted(Pick.Target_.Id_, Now);
+  Request.Tried_.insert(Pick.Target_.Id_);
+  ++Request.InProgress_;
+  if (Request.Route_->Idempotent_ && !Request.IsHedged_ &&
+      Request.Route_->MaxTargets_ > Request.Sent_ + Request.InProgress_)
+    Order.HedgeAt_ =
+        Now + Duration(static_cast<Duration::rep>(
+                  HedgeFactor *
+                  static_cast<double>(Of.Balancer_.typicalLatency().count())));
+  return Order;
+}
+
+std::variant<GatewayRefusal, GatewayAttempt> GatewayCore::place(GatewayRequest &Request,
+                                                       TimePoint Now) {
+  Service &Of = serviceOf(Request.Service_);
+  if (Request.GiveUpAt_ - Now <= DeliveryTime)
+    return giveUp(Request);
+  const PickTerms Terms{Request.Tried_,
+                        Request.Route_->Idempotent_ &&
+                            Request.Route_->MaxTargets_ > Request.Sent_ + 1};
+  const std::optional<TargetPick> Pick = Of.Balancer_.pick(Terms, Now, Random_);
+  if (!Pick)
+    return Request.Tried_.empty() ? refuse(ResultCode::NoTarget, StateRetryAfter)
+                                  : giveUp(Request);
+  return start(Request, Of, *Pick, Request.Sent_ > 0, Now);
+}
+
+std::optional<GatewayAttempt> GatewayCore::placeHedge(GatewayRequest &Request,
+                                                    TimePoint Now) {
+  Service &Of = serviceOf(Request.Service_);
+  if (Request.IsHedged_ || !Request.Route_->Idempotent_ ||
+      Request.Sent_ + Request.InProgress_ >= Request.Route_->MaxTargets_ ||
+      Request.GiveUpAt_ - Now < LeastResendTime)
+    return std::nullopt;
+  const std::optional<TargetPick> Pick =
+      Of.Balancer_.pick(PickTerms{Request.Tried_, false}, Now, Random_);
+  if (!Pick || Of.Balancer_.isEjected(Pick->Target_.Id_, Now) ||
+      !Of.Budget_.take(resendTerms(), Now))
+    return std::nullopt;
+  Request.IsHedged_ = true;
+  return start(Request, Of, *Pick, true, Now);
+}
+
+GatewayDecision GatewayCore::attemptEnded(GatewayRequest &Request,
+                                   const GatewayAttempt &Order,
+                                   AttemptOutcome Result,
+                                   std::optional<ReportedLoad> Load,
+                                   TimePoint Now) {
+  --Request.InProgress_;
+  serviceOf(Request.Service_)
+      .Balancer_.attemptEnded(Order.Target_.Id_, Order.StartedAt_,
+                              evidenceOf(Result), Now - Order.StartedAt_, Load,
+                              Now);
+  if (Result == AttemptOutcome::NotConnected)
+    ++Request.Connecting_;
+  else
+    ++Request.Sent_;
+  if (Result == AttemptOutcome::Success || Result == AttemptOutcome::Failure ||
+      Result == AttemptOutcome::Broken || Result == AttemptOutcome::TimedOut)
+    Request.MayHaveRun_ = true;
+  if (Result == AttemptOutcome::Success)
+    return GatewayDecision{GatewayStep::Deliver, {}};
+  return afterFailure(Request, Result, Now);
+}
+
+GatewayDecision GatewayCore::afterFailure(GatewayRequest &Request,
+                                   AttemptOutcome Result, TimePoint Now) {
+  if (Request.InProgress_ > 0)
+    return GatewayDecision{GatewayStep::Wait, {}};
+  const bool HasTime = Request.GiveUpAt_ - Now >= LeastResendTime;
+  const bool MayRepeat = Request.Route_->Idempotent_ || !Request.MayHaveRun_;
+  if (HasTime && MayRepeat && Result != AttemptOutcome::TimedOut) {
+    if (Result == AttemptOutcome::NotConnected &&
+        Request.Connecting_ <= MaxUnconnected)
+      return GatewayDecision{GatewayStep::Resend, {}};
+    if (Request.Sent_ < Request.Route_->MaxTargets_ &&
+        serviceOf(Request.Service_).Budget_.take(resendTerms(), Now))
+      return GatewayDecision{GatewayStep::Resend, {}};
+  }
+  if (Result == AttemptOutcome::Failure)
+    return GatewayDecision{GatewayStep::Deliver, {}};
+  if (Result == AttemptOutcome::Broken)
+    return GatewayDecision{GatewayStep::Fail,
+                    refuse(ResultCode::BackendBroken, std::nullopt)};
+  return GatewayDecision{GatewayStep::Fail, giveUp(Request)};
+}
+
+GatewayRefusal GatewayCore::giveUp(const GatewayRequest &Request) const {
+  if (Request.MayHaveRun_ || Request.InProgress_ > 0)
+    return refuse(ResultCode::BackendTimeout, std::nullopt);
+  const TargetBalancer *Targets = balancer(Request.Service_);
+  const Duration Room =
+      Targets ? std::max(LeastRetryAfter, Targets->expectedRoom(Request.ArrivedAt_))
+              : StateRetryAfter;
+  return refuse(ResultCode::BackendRefused, Room);
+}
+
+void GatewayCore::peerEvidence(const ServiceName &Name, const TargetId &Id,
+                               bool Failed, TimePoint Now) {
+  const std::map<ServiceName, Service>::iterator It = Services_.find(Name);
+  if (It != Services_.end())
+    It->second.Balancer_.peerEvidence(Id, Failed, Now);
+}
+
+const TargetBalancer *GatewayCore::balancer(const ServiceName &Name) const {
+  const std::map<ServiceName, Service>::const_iterator It =
+      Services_.find(Name);
+  return It == Services_.end() ? nullptr : &It->second.Balancer_;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/gateway-daemon.cc
@@ -0,0 +1,416 @@
+// Wiring of a gateway host. See gateway-daemon.h.
+
+#include "kumquatpitch/gateway-daemon.h"
+
+#include "kumquatpitch/caller-hosts.h"
+#include "kumquatpitch/metrics-format.h"
+
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <unistd.h>
+
+namespace kumquatpitch {
+
+namespace {
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(100);
+constexpr Duration SettingsPeriod = std::chrono::seconds(1);
+constexpr std::size_t MaxServiceConnections = 200;
+/// Parts of the planned stop: new requests are taken for half of it, so that
+/// callers have asked anew by then, and refused as not run for the rest.
+constexpr double ServePart = 0.5;
+/// The daemon ends this long before it would be killed.
+constexpr Duration StopMargin = std::chrono::milliseconds(200);
+/// Wait of a watch for changes; some change is published almost always.
+constexpr Duration ChangeWait = std::chrono::milliseconds(200);
+
+Incarnation startTime() {
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+Member selfOf(const GatewaySettings &From) {
+  return Member{From.Id_,     From.Address_, From.Domain_,
+                From.Region_, startTime(),   0,
+                MemberState::Starting};
+}
+
+GatewayTerms termsOf(const GatewaySettings &From) {
+  return GatewayTerms{From.Domain_, From.FloorShare_, From.ResendRatio_,
+                      From.ResendSlack_, From.ResendWindow_};
+}
+
+std::vector<std::string> addressesOf(const std::vector<Endpoint> &From) {
+  std::vector<std::string> Addresses;
+  for (const Endpoint &Each : From)
+    Addresses.push_back(Each.Address_);
+  return Addresses;
+}
+
+HttpMessage plainAnswer(int Status, std::string Text) {
+  HttpMessage Answer;
+  Answer.Status_ = Status;
+  Answer.Headers_.emplace_back("Content-Type", "text/plain");
+  Answer.Body_ = std::move(Text);
+  return Answer;
+}
+
+} // namespace
+
+/// Answers which hosts to use, and whether this host is ready.
+class GatewayDaemon::DirectoryHandler : public HttpHandler {
+public:
+  explicit DirectoryHandler(GatewayDaemon &Owner) : Owner_(Owner) {}
+
+  void handle(std::shared_ptr<HttpExchange> Exchange) override {
+    const HttpMessage &Request = Exchange->request();
+    if (Owner_.Platform_.isReadinessCall(Request)) {
+      const bool IsReady = Owner_.isReady();
+      return Exchange->answer(plainAnswer(IsReady ? 200 : 503,
+                                          IsReady ? "ready\n" : "not ready\n"));
+    }
+    const std::optional<AddressQuestion> Question =
+        Owner_.Platform_.addressQuestion(Request);
+    if (!Question)
+      return Exchange->answer(reject(ResultCode::RouteUnknown));
+    std::vector<Endpoint> Hosts;
+    for (const Member &Each :
+         callerHosts(Owner_.Membership_.members(), Question->VirtualHost_,
+                     Question->Domain_, Question->Region_))
+      Hosts.push_back(Endpoint{Each.Address_, Owner_.Settings_.Front_.Port_});
+    if (Hosts.empty())
+      return Exchange->answer(reject(ResultCode::NotReady));
+    Exchange->answer(Owner_.Platform_.addressAnswer(
+        Hosts, Owner_.Settings_.AddressKeep_));
+  }
+
+  HttpMessage reject(ResultCode Code) override {
+    return plainAnswer(httpStatus(Code),
+                       std::string(resultCodeName(Code)) + "\n");
+  }
+
+private:
+  GatewayDaemon &Owner_;
+};
+
+/// Serves the metrics page.
+class GatewayDaemon::MetricsHandler : public HttpHandler {
+public:
+  explicit MetricsHandler(GatewayDaemon &Owner) : Owner_(Owner) {}
+
+  void handle(std::shared_ptr<HttpExchange> Exchange) override {
+    Exchange->answer(plainAnswer(
+        200, formatMetrics(Owner_.Metrics_.snapshot(Owner_.Timers_.now()),
+                           HostStatus())));
+  }
+
+  HttpMessage reject(ResultCode Code) override {
+    return plainAnswer(httpStatus(Code),
+                       std::string(resultCodeName(Code)) + "\n");
+  }
+
+private:
+  GatewayDaemon &Owner_;
+};
+
+GatewayDaemon::GatewayDaemon(GatewaySettings Settings,
+                             std::string SettingsFile,
+                             const GatewayPlatform &Platform)
+    : Settings_(std::move(Settings)), SettingsFile_(std::move(SettingsFile)),
+      Seeds_(Settings_.Seeds_), Platform_(Platform), Timers_(Context_),
+      Log_(Timers_, STDOUT_FILENO, Settings_.LogLevel_),
+      Random_(std::random_device{}()), TargetClient_(Context_),
+      StoreClient_(Context_),
+      Store_(Platform.openStore(StoreClient_, Settings_.Store_)),
+      Membership_(selfOf(Settings_), Random_), Follower_(Settings_.Id_),
+      Core_(termsOf(Settings_), Random_),
+      Front_(GatewayParts{Context_, Timers_, Core_, TargetClient_, Log_,
+                          Metrics_, *this, Platform.headers()}),
+      Directory_(std::make_unique<DirectoryHandler>(*this)),
+      MetricsPage_(std::make_unique<MetricsHandler>(*this)),
+      FrontServer_(Context_, Front_), ReadyServer_(Context_, *Directory_),
+      DirectoryServer_(Context_, *Directory_),
+      MetricsServer_(Context_, *MetricsPage_), Datagrams_(Context_),
+      Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+Result<void> GatewayDaemon::listen() {
+  asio::error_code Error;
+  const asio::ip::udp::endpoint Own(
+      asio::ip::make_address(Settings_.Address_, Error), Settings_.PeerPort_);
+  Datagrams_.open(asio::ip::udp::v4(), Error);
+  Datagrams_.bind(Own, Error);
+  if (Error)
+    return fail(ResultCode::SettingsInvalid,
+                "cannot receive datagrams on " + Settings_.Address_ + ":" +
+                    std::to_string(Settings_.PeerPort_) + ": " +
+                    Error.message());
+  BOOST_LEAF_CHECK(
+      FrontServer_.listen(Settings_.Front_, Settings_.MaxConnections_));
+  BOOST_LEAF_CHECK(ReadyServer_.listen(Settings_.Ready_, MaxServiceConnections));
+  BOOST_LEAF_CHECK(
+      DirectoryServer_.listen(Settings_.Directory_, MaxServiceConnections));
+  if (Settings_.MetricsPort_ != 0)
+    BOOST_LEAF_CHECK(MetricsServer_.listen(
+        Endpoint{Settings_.Address_, Settings_.MetricsPort_},
+        MaxServiceConnections));
+  return {};
+}
+
+Result<void> GatewayDaemon::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  BOOST_LEAF_CHECK(listen());
+  Log_.write(LogLevel::Info, "daemon", "started",
+             {{"host", Settings_.Id_.str()},
+              {"domain", Settings_.Domain_.str()},
+              {"incarnation", std::to_string(Membership_.self().Incarnation_)},
+              {"seeds", std::to_string(Seeds_.size())}});
+  Membership_.setSeeds(addressesOf(Seeds_));
+  receiveDatagram();
+  awaitSignal();
+  Timers_.subscribe(TickPeriod, [this](TimePoint) { tick(); });
+  Timers_.subscribe(SettingsPeriod,
+                    [this](TimePoint) { checkSettings(false); });
+  tick();
+  Context_.run();
+  Log_.write(LogLevel::Info, "daemon", "stopped",
+             {{"requests_cut",
+               std::to_string(FrontServer_.requestsInProgress())}});
+  Log_.flush();
+  return {};
+}
+
+void GatewayDaemon::awaitSignal() {
+  Signals_.async_wait([this](const asio::error_code &Error, int Signal) {
+    if (Error)
+      return;
+    if (Signal == SIGHUP)
+      checkSettings(true);
+    else
+      beginStop();
+    awaitSignal();
+  });
+}
+
+void GatewayDaemon::receiveDatagram() {
+  Datagrams_.async_receive_from(
+      asio::buffer(DatagramBuffer_), Sender_,
+      [this](const asio::error_code &Error, std::size_t Size) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (!Error)
+          handleDatagram(std::string(DatagramBuffer_.data(), Size));
+        receiveDatagram();
+      });
+}
+
+void GatewayDaemon::handleDatagram(const std::string &Bytes) {
+  const TimePoint Now = Timers_.now();
+  const std::optional<PeerDatagram> Read = handleFailure(
+      [&]() -> Result<std::optional<PeerDatagram>> {
+        BOOST_LEAF_AUTO(Message, decodeDatagram(Bytes));
+        return std::optional<PeerDatagram>(std::move(Message));
+      },
+      [&](const Failure &Cause) -> std::optional<PeerDatagram> {
+        Metrics_.count("peer_datagrams_malformed");
+        Log_.write(LogLevel::Warning, "peer", "malformed",
+                   {{"code", resultCodeName(Cause.Code_)},
+                    {"sender", Sender_.address().to_string()},
+                    {"detail", Cause.Message_}});
+        return std::nullopt;
+      });
+  if (!Read)
+    return;
+  if (const ProbeMessage *Probe = std::get_if<ProbeMessage>(&*Read))
+    send(Membership_.receive(*Probe, Now));
+  else if (const ProgressMessage *Progress =
+               std::get_if<ProgressMessage>(&*Read))
+    apply(Follower_.receive(*Progress, Now));
+  else if (const EvidenceMessage *Seen = std::get_if<EvidenceMessage>(&*Read))
+    Core_.peerEvidence(Seen->Service_, Seen->Target_, Seen->Failed_, Now);
+}
+
+void GatewayDaemon::send(const std::string &Address,
+                         const PeerDatagram &Message) {
+  const std::string Bytes = encodeDatagram(Message);
+  asio::error_code Error;
+  const asio::ip::udp::endpoint To(asio::ip::make_address(Address, Error),
+                                   Settings_.PeerPort_);
+  if (!Error)
+    Datagrams_.send_to(asio::buffer(Bytes), To, 0, Error);
+  if (Error)
+    Metrics_.count("peer_datagrams_not_sent");
+}
+
+void GatewayDaemon::send(const std::vector<OutgoingProbe> &Probes) {
+  for (const OutgoingProbe &Each : Probes)
+    send(Each.Address_, Each.Message_);
+}
+
+void GatewayDaemon::tick() {
+  const TimePoint Now = Timers_.now();
+  send(Membership_.tick(Now));
+  if (Membership_.changes() != MembersSeen_) {
+    MembersSeen_ = Membership_.changes();
+    std::size_t Alive = 0;
+    for (const Member &Each : Membership_.members())
+      Alive += Each.isAlive() ? 1 : 0;
+    Core_.setHosts(Alive);
+    Log_.write(LogLevel::Info, "membership", "changed",
+               {{"alive", std::to_string(Alive)},
+                {"known", std::to_string(Membership_.members().size())}});
+  }
+  if (Follower_.expire(Now))
+    Core_.setTargets(Follower_.directory().entries(), Now);
+  if (const std::optional<ReadOrder> Next = Follower_.due(
+          readerRank(Membership_.self(), Membership_.members()), Now))
+    order(*Next);
+  updateState();
+  if (StopBegan_)
+    continueStop(Now);
+}
+
+void GatewayDaemon::order(const ReadOrder &What) {
+  const PublishedStateReader::Callback Done =
+      [this, What](const PublishedRead &Read) { readEnded(What, Read); };
+  switch (What.What_) {
+  case ReadOrder::Kind::All:
+    return Store_->listAll(Done);
+  case ReadOrder::Kind::Changes:
+    return Store_->readChanges(What.After_, ChangeWait, Done);
+  case ReadOrder::Kind::Config:
+    return Store_->readConfig(Done);
+  }
+}
+
+void GatewayDaemon::readEnded(const ReadOrder &What,
+                              const PublishedRead &Read) {
+  const bool IsOk = Read.Status_ == ReadStatus::Ok;
+  Metrics_.count(std::string("store_reads_") + readStatusName(Read.Status_));
+  if (IsOk != HadStore_ || What.What_ == ReadOrder::Kind::All)
+    Log_.write(IsOk ? LogLevel::Info : LogLevel::Warning, "store",
+               IsOk ? "regained" : "lost",
+               {{"status", readStatusName(Read.Status_)},
+                {"detail", Read.Detail_},
+                {"revision", std::to_string(Read.Revision_)},
+                {"entries", std::to_string(Read.Targets_.size())}});
+  HadStore_ = IsOk;
+  apply(Follower_.readEnded(Read, Timers_.now()));
+}
+
+void GatewayDaemon::apply(const FollowResult &Result) {
+  const TimePoint Now = Timers_.now();
+  if (Result.NewTable_) {
+    Core_.setTable(Result.NewTable_);
+    FrontServer_.setLimits(Result.NewTable_->config().Limits_);
+    Log_.write(
+        LogLevel::Info, "config", "in_force",
+        {{"version", std::to_string(Result.NewTable_->config().Version_)},
+         {"revision", std::to_string(Follower_.configRevision())},
+         {"routes",
+          std::to_string(Result.NewTable_->config().Routes_.size())}});
+  }
+  if (Result.TargetsChanged_) {
+    Core_.setTargets(Follower_.directory().entries(), Now);
+    Log_.write(LogLevel::Info, "targets", "changed",
+               {{"revision", std::to_string(Follower_.revision())},
+                {"targets",
+                 std::to_string(Follower_.directory().entries().size())}});
+  }
+  if (Result.PassOn_)
+    passOn(*Result.PassOn_);
+  updateState();
+}
+
+void GatewayDaemon::passOn(const ProgressMessage &Message) {
+  const std::vector<ProgressMessage> Parts = splitProgress(Message);
+  for (const Member &Each : Membership_.members())
+    if (Each.Domain_ == Settings_.Domain_ && Each.Id_ != Settings_.Id_ &&
+        Each.isAlive())
+      for (const ProgressMessage &Part : Parts)
+        send(Each.Address_, Part);
+}
+
+void GatewayDaemon::evidence(const VirtualRoute &Route,
+                             const TargetEntry &Target, bool Failed) {
+  const EvidenceMessage Message{Target.Service_, Target.Id_,
+                                Target.StartedUnixMs_, Failed};
+  const std::vector<Member> Members = Membership_.members();
+  std::set<FailureDomain> Domains;
+  for (const Member &Each : Members)
+    Domains.insert(Each.Domain_);
+  std::set<std::string> Told{Settings_.Address_};
+  for (const FailureDomain &Domain : Domains)
+    for (const Member &Each :
+         callerHosts(Members, Route.Host_, Domain, Settings_.Region_))
+      if (Told.insert(Each.Address_).second)
+        send(Each.Address_, Message);
+}
+
+bool GatewayDaemon::isReady() const {
+  return Follower_.hasState() && !StopBegan_;
+}
+
+void GatewayDaemon::updateState() {
+  const MemberState State = StopBegan_ ? MemberState::Leaving
+                            : Follower_.hasState() ? MemberState::Serving
+                                                   : MemberState::Starting;
+  send(Membership_.setState(State));
+}
+
+void GatewayDaemon::checkSettings(bool IsSignalled) {
+  const std::optional<GatewaySettings> Read = handleFailure(
+      [&]() -> Result<std::optional<GatewaySettings>> {
+        BOOST_LEAF_AUTO(Loaded, loadGatewaySettings(SettingsFile_));
+        return std::optional<GatewaySettings>(std::move(Loaded));
+      },
+      [&](const Failure &Cause) -> std::optional<GatewaySettings> {
+        Log_.write(LogLevel::Error, "settings", "not_taken",
+                   {{"code", resultCodeName(Cause.Code_)},
+                    {"detail", Cause.Message_}});
+        return std::nullopt;
+      });
+  if (!Read || (Read->Seeds_ == Seeds_ && !IsSignalled))
+    return;
+  const bool NeedsRestart = [&] {
+    GatewaySettings SameSeeds = *Read;
+    SameSeeds.Seeds_ = Settings_.Seeds_;
+    return SameSeeds != Settings_;
+  }();
+  Seeds_ = Read->Seeds_;
+  Membership_.setSeeds(addressesOf(Seeds_));
+  Log_.write(LogLevel::Info, "settings", "reloaded",
+             {{"seeds", std::to_string(Seeds_.size())},
+              {"needs_restart", NeedsRestart ? "1" : "0"}});
+}
+
+void GatewayDaemon::beginStop() {
+  if (StopBegan_)
+    return;
+  StopBegan_ = Timers_.now();
+  Log_.write(LogLevel::Info, "daemon", "stopping",
+             {{"in_progress",
+               std::to_string(FrontServer_.requestsInProgress())},
+              {"connections", std::to_string(FrontServer_.connections())}});
+  updateState();
+  FrontServer_.drain();
+}
+
+void GatewayDaemon::continueStop(TimePoint Now) {
+  const Duration Passed = Now - *StopBegan_;
+  const Duration Serve(static_cast<Duration::rep>(
+      static_cast<double>(Settings_.StopTime_.count()) * ServePart));
+  if (Passed >= Serve)
+    Front_.refuseNew();
+  const bool IsIdle = FrontServer_.requestsInProgress() == 0;
+  constexpr Duration RefusalTime = std::chrono::milliseconds(1'000);
+  if ((IsIdle && Passed >= Serve + RefusalTime) ||
+      Passed >= Settings_.StopTime_ - StopMargin)
+    Context_.stop();
+}
+
+} // namespace kumquatpitch
--- a/src/main.cc
+++ b/src/main.cc
@@ -18,6 +18,8 @@
 
 const Command Commands[] = {
     {"serve", "run the daemon of an entry host", kumquatpitch::runServe},
+    {"gateway", "run the daemon of a host on the platform",
+     kumquatpitch::runGateway},
     {"check", "check settings and published documents", kumquatpitch::runCheck},
     {"status", "show what hosts do and why", kumquatpitch::runStatus},
     {"burn", "report on service-level burn", kumquatpitch::runBurn},
--- /dev/null
+++ b/src/message-parser.cc
@@ -0,0 +1,219 @@
+// HTTP messages through http-parser. See message-parser.h.
+
+#include "kumquatpitch/message-parser.h"
+
+#include <algorithm>
+#include <strings.h>
+
+namespace kumquatpitch {
+
+bool sameHeaderName(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         strncasecmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+/// Fields that are written anew for the next connection.
+static bool isRewritten(std::string_view Name, const HeaderFields &Fields) {
+  return isHopByHop(Name, Fields) || sameHeaderName(Name, "Content-Length") ||
+         sameHeaderName(Name, "Expect");
+}
+
+const std::string *HttpMessage::header(std::string_view Name) const {
+  for (const HeaderField &Each : Headers_)
+    if (sameHeaderName(Each.first, Name))
+      return &Each.second;
+  return nullptr;
+}
+
+std::size_t HttpMessage::headerCount(std::string_view Name) const {
+  return static_cast<std::size_t>(std::count_if(
+      Headers_.begin(), Headers_.end(), [&](const HeaderField &Each) {
+        return sameHeaderName(Each.first, Name);
+      }));
+}
+
+static void appendHeaders(const HttpMessage &Message, std::string &Text) {
+  for (const HeaderField &Each : Message.Headers_) {
+    if (isRewritten(Each.first, Message.Headers_))
+      continue;
+    Text.append(Each.first).append(": ").append(Each.second).append("\r\n");
+  }
+}
+
+std::string writeRequest(const HttpMessage &Message) {
+  std::string Text;
+  Text.reserve(512 + Message.Body_.size());
+  Text.append(Message.Method_).append(" ").append(Message.Target_);
+  Text.append(" HTTP/1.1\r\n");
+  appendHeaders(Message, Text);
+  const bool MayHaveBody =
+      Message.Method_ != "GET" && Message.Method_ != "HEAD";
+  if (!Message.Body_.empty() || MayHaveBody)
+    Text.append("Content-Length: ")
+        .append(std::to_string(Message.Body_.size()))
+        .append("\r\n");
+  return Text.append("\r\n").append(Message.Body_);
+}
+
+std::string writeAnswer(const HttpMessage &Message, bool CloseAfter,
+                        bool OmitBody) {
+  std::string Text;
+  Text.reserve(512 + Message.Body_.size());
+  Text.append("HTTP/1.1 ").append(std::to_string(Message.Status_)).append(" ");
+  Text.append(http_status_str(static_cast<http_status>(Message.Status_)));
+  Text.append("\r\n");
+  appendHeaders(Message, Text);
+  const bool HasNoBody = Message.Status_ == 204 || Message.Status_ == 304;
+  if (!HasNoBody)
+    Text.append("Content-Length: ")
+        .append(std::to_string(Message.Body_.size()))
+        .append("\r\n");
+  if (CloseAfter)
+    Text.append("Connection: close\r\n");
+  Text.append("\r\n");
+  if (!OmitBody && !HasNoBody)
+    Text.append(Message.Body_);
+  return Text;
+}
+
+const http_parser_settings MessageParser::Settings = [] {
+  http_parser_settings Table;
+  http_parser_settings_init(&Table);
+  Table.on_url = onTarget;
+  Table.on_header_field = onField;
+  Table.on_header_value = onValue;
+  Table.on_headers_complete = onHeadersComplete;
+  Table.on_body = onBody;
+  Table.on_message_complete = onComplete;
+  return Table;
+}();
+
+static MessageParser &self(http_parser *Parser) {
+  return *static_cast<MessageParser *>(Parser->data);
+}
+
+MessageParser::MessageParser(Kind Of, std::uint64_t MaxHeadBytes,
+                             std::uint64_t MaxBodyBytes)
+    : Of_(Of), MaxHeadBytes_(MaxHeadBytes), MaxBodyBytes_(MaxBodyBytes) {
+  reset();
+}
+
+void MessageParser::reset() {
+  http_parser_init(&Parser_,
+                   Of_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+  Parser_.data = this;
+  Message_ = HttpMessage();
+  State_ = State::Head;
+  HeadBytes_ = 0;
+  LastWasValue_ = false;
+}
+
+std::size_t MessageParser::feed(std::string_view Bytes) {
+  if (State_ == State::Complete || State_ == State::Rejected || Bytes.empty())
+    return 0;
+  if (HeadBytes_ == 0)
+    HeadBytes_ = 1;
+  const std::size_t Taken =
+      http_parser_execute(&Parser_, &Settings, Bytes.data(), Bytes.size());
+  if (State_ == State::Complete || State_ == State::Rejected)
+    return Taken;
+  if (HTTP_PARSER_ERRNO(&Parser_) != HPE_OK || Parser_.upgrade)
+    reject(ResultCode::RequestMalformed);
+  return Taken;
+}
+
+void MessageParser::finish() {
+  if (State_ == State::Complete || State_ == State::Rejected)
+    return;
+  http_parser_execute(&Parser_, &Settings, nullptr, 0);
+  if (State_ != State::Complete)
+    reject(ResultCode::RequestIncomplete);
+}
+
+bool MessageParser::awaitsContinue() const {
+  const std::string *Expected = Message_.header("Expect");
+  return State_ == State::Body && Message_.Body_.empty() && Expected &&
+         sameHeaderName(*Expected, "100-continue");
+}
+
+HttpMessage MessageParser::take() {
+  HttpMessage Taken = std::move(Message_);
+  reset();
+  return Taken;
+}
+
+int MessageParser::reject(ResultCode Code) {
+  State_ = State::Rejected;
+  Code_ = Code;
+  return 1;
+}
+
+bool MessageParser::countHead(std::size_t Size) {
+  HeadBytes_ += Size;
+  return HeadBytes_ <= MaxHeadBytes_;
+}
+
+int MessageParser::onTarget(http_parser *Parser, const char *At,
+                            std::size_t Size) {
+  MessageParser &Own = self(Parser);
+  if (!Own.countHead(Size))
+    return Own.reject(ResultCode::RequestHeadTooLarge);
+  Own.Message_.Target_.append(At, Size);
+  return 0;
+}
+
+int MessageParser::onField(http_parser *Parser, const char *At,
+                           std::size_t Size) {
+  MessageParser &Own = self(Parser);
+  if (!Own.countHead(Size))
+    return Own.reject(ResultCode::RequestHeadTooLarge);
+  if (Own.LastWasValue_ || Own.Message_.Headers_.empty())
+    Own.Message_.Headers_.emplace_back();
+  Own.LastWasValue_ = false;
+  Own.Message_.Headers_.back().first.append(At, Size);
+  return 0;
+}
+
+int MessageParser::onValue(http_parser *Parser, const char *At,
+                           std::size_t Size) {
+  MessageParser &Own = self(Parser);
+  if (!Own.countHead(Size))
+    return Own.reject(ResultCode::RequestHeadTooLarge);
+  Own.LastWasValue_ = true;
+  Own.Message_.Headers_.back().second.append(At, Size);
+  return 0;
+}
+
+int MessageParser::onHeadersComplete(http_parser *Parser) {
+  MessageParser &Own = self(Parser);
+  if (Own.Of_ == Kind::Request)
+    Own.Message_.Method_ =
+        http_method_str(static_cast<http_method>(Parser->method));
+  else
+    Own.Message_.Status_ = Parser->status_code;
+  Own.Message_.KeepsConnection_ = http_should_keep_alive(Parser) != 0;
+  if ((Parser->flags & F_CONTENTLENGTH) != 0 &&
+      Parser->content_length > Own.MaxBodyBytes_)
+    return Own.reject(ResultCode::RequestBodyTooLarge);
+  Own.State_ = State::Body;
+  return Own.HasNoBody_ ? 1 : 0;
+}
+
+int MessageParser::onBody(http_parser *Parser, const char *At,
+                          std::size_t Size) {
+  MessageParser &Own = self(Parser);
+  if (Own.Message_.Body_.size() + Size > Own.MaxBodyBytes_)
+    return Own.reject(ResultCode::RequestBodyTooLarge);
+  Own.Message_.Body_.append(At, Size);
+  return 0;
+}
+
+int MessageParser::onComplete(http_parser *Parser) {
+  MessageParser &Own = self(Parser);
+  Own.State_ = State::Complete;
+  // Bytes that follow belong to the next message.
+  http_parser_pause(Parser, 1);
+  return 0;
+}
+
+} // namespace kumquatpitch
--- /dev/null
+++ b/src/settings-reader.cc
@@ -0,0 +1,208 @@
+// INI settings through libinih. See settings-reader.h.
+
+#include "kumquatpitch/settings-reader.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <ini.h>
+#include <set>
+#include <sstream>
+
+namespace kumquatpitch {
+
+namespace {
+
+constexpr std::size_t MaxSeeds = 64;
+constexpr std::string_view CustomerSection = "customer.";
+
+std::string placeOf(const SettingsEntry &At) {
+  return "section [" + At.Section_ + "], key " + At.Key_;
+}
+
+std::optional<std::uint64_t>
+parseNumber(const std::string &Text, std::uint64_t Least, std::uint64_t Most) {
+  std::uint64_t Number = 0;
+  const std::from_chars_result Parsed =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size() ||
+      Number < Least || Number > Most)
+    return std::nullopt;
+  return Number;
+}
+
+bool isIpAddress(const std::string &Text) {
+  in6_addr Ignored;
+  return inet_pton(AF_INET, Text.c_str(), &Ignored) == 1 ||
+         inet_pton(AF_INET6, Text.c_str(), &Ignored) == 1;
+}
+
+std::optional<Endpoint> parseEndpoint(const std::string &Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos || !isIpAddress(Text.substr(0, Colon)))
+    return std::nullopt;
+  const std::optional<std::uint64_t> Port =
+      parseNumber(Text.substr(Colon + 1), 1, MaxPort);
+  if (!Port)
+    return std::nullopt;
+  return Endpoint{Text.substr(0, Colon), static_cast<std::uint16_t>(*Port)};
+}
+
+} // namespace
+
+int SettingsReader::collect(void *User, const char *Section, const char *Key,
+                            const char *Value) {
+  SettingsReader &Reader = *static_cast<SettingsReader *>(User);
+  SettingsEntry Read{Section, Key, Value};
+  for (const SettingsEntry &Known : Reader.Entries_)
+    if (Known.Section_ == Read.Section_ && Known.Key_ == Read.Key_)
+      Reader.reject(Read, "is there twice");
+  Reader.Entries_.push_back(std::move(Read));
+  return 1;
+}
+
+Result<SettingsReader> SettingsReader::parse(const std::string &Text,
+                                             const std::string &File) {
+  SettingsReader Reader;
+  const int BadLine = ini_parse_string(Text.c_str(), collect, &Reader);
+  if (BadLine != 0)
+    return fail(ResultCode::SettingsInvalid,
+                File + ": line " + std::to_string(BadLine) +
+                    ": must be [SECTION], KEY = VALUE or a comment");
+  return Reader;
+}
+
+std::optional<std::string>
+SettingsReader::take(const char *Section, const char *Key, bool Required) {
+  for (std::size_t Index = 0; Index < Entries_.size(); ++Index) {
+    if (Entries_[Index].Section_ != Section || Entries_[Index].Key_ != Key)
+      continue;
+    std::string Value = Entries_[Index].Value_;
+    Entries_.erase(Entries_.begin() + static_cast<std::ptrdiff_t>(Index));
+    return Value;
+  }
+  if (Required)
+    reject(SettingsEntry{Section, Key, ""}, "is missing");
+  return std::nullopt;
+}
+
+void SettingsReader::reject(const SettingsEntry &At,
+                            const std::string &Problem) {
+  if (!Problem_)
+    Problem_ = placeOf(At) + ": " + Problem;
+}
+
+std::string SettingsReader::nameText(const char *Section, const char *Key) {
+  std::string Text = take(Section, Key, true).value_or("");
+  if (!isValidName(Text))
+    reject(SettingsEntry{Section, Key, ""},
+           "must be a name: 1 to 63 of a-z, 0-9 and "
+           "'-', not starting with '-'");
+  return Text;
+}
+
+std::string SettingsReader::address(const char *Section, const char *Key,
+                                    const std::string &Default) {
+  std::string Text = take(Section, Key, Default.empty()).value_or(Default);
+  if (!isIpAddress(Text))
+    reject(SettingsEntry{Section, Key, ""}, "must be an IP address");
+  return Text;
+}
+
+std::uint64_t SettingsReader::number(const char *Section, const char *Key,
+                                     std::uint64_t Least, std::uint64_t Most,
+                                     std::optional<std::uint64_t> Default) {
+  const std::optional<std::string> Text = take(Section, Key, !Default);
+  if (!Text)
+    return Default.value_or(Least);
+  const std::optional<std::uint64_t> Number = parseNumber(*Text, Least, Most);
+  if (!Number)
+    reject(SettingsEntry{Section, Key, ""}, "must be a whole number from " +
+                                                std::to_string(Least) + " to " +
+                                                std::to_string(Most));
+  return Number.value_or(Least);
+}
+
+double SettingsReader::decimal(const char *Section, const char *Key,
+                               double Least, double Most, double Default) {
+  const std::optional<std::string> Text = take(Section, Key, false);
+  if (!Text)
+    return Default;
+  double Number = 0;
+  const char *End = Text->data() + Text->size();
+  const std::from_chars_result Parsed =
+      std::from_chars(Text->data(), End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Number < Least ||
+      Number > Most) {
+    reject(SettingsEntry{Section, Key, ""}, "must be a number from " +
+                                                std::to_string(Least) + " to " +
+                                                std::to_string(Most));
+    return Default;
+  }
+  return Number;
+}
+
+Endpoint SettingsReader::endpoint(const char *Section, const char *Key) {
+  const std::optional<std::string> Text = take(Section, Key, true);
+  const std::optional<Endpoint> Parsed =
+      Text ? parseEndpoint(*Text) : std::nullopt;
+  if (!Parsed)
+    reject(SettingsEntry{Section, Key, ""}, "must be ADDRESS:PORT");
+  return Parsed.value_or(Endpoint());
+}
+
+std::vector<Endpoint> SettingsReader::endpoints(const char *Section,
+                                                const char *Key) {
+  std::vector<Endpoint> Read;
+  std::istringstream Text(take(Section, Key, false).value_or(""));
+  std::string Item;
+  while (std::getline(Text, Item, ',')) {
+    Item.erase(0, Item.find_first_not_of(' '));
+    Item.erase(Item.find_last_not_of(' ') + 1);
+    const std::optional<Endpoint> Parsed = parseEndpoint(Item);
+    if (!Parsed || Read.size() >= MaxSeeds) {
+      reject(SettingsEntry{Section, Key, ""},
+             "must be up to 64 of ADDRESS:PORT, separated by commas");
+      break;
+    }
+    Read.push_back(*Parsed);
+  }
+  return Read;
+}
+
+LogLevel SettingsReader::level(const char *Section, const char *Key) {
+  const std::string Text = take(Section, Key, false).value_or("info");
+  if (Text == "info")
+    return LogLevel::Info;
+  if (Text == "warning")
+    return LogLevel::Warning;
+  if (Text != "error")
+    reject(SettingsEntry{Section, Key, ""}, "must be info, warning or error");
+  return LogLevel::Error;
+}
+
+std::map<CustomerName, std::uint16_t> SettingsReader::customerPorts() {
+  std::map<CustomerName, std::uint16_t> Ports;
+  std::set<std::string> Sections;
+  for (const SettingsEntry &Each : Entries_)
+    if (Each.Section_.rfind(CustomerSection, 0) == 0)
+      Sections.insert(Each.Section_);
+  for (const std::string &Section : Sections) {
+    const std::string Customer = Section.substr(CustomerSection.size());
+    if (!isValidName(Customer))
+      reject(SettingsEntry{Section, "port", ""},
+             "the customer's name is not valid");
+    Ports.emplace(CustomerName(Customer),
+                  number(Section.c_str(), "port", 1, MaxPort, std::nullopt));
+  }
+  if (Ports.empty())
+    reject(SettingsEntry{"customer.NAME", "port", ""}, "is missing");
+  return Ports;
+}
+
+std::optional<std::string> SettingsReader::finish() {
+  if (!Problem_ && !Entries_.empty())
+    reject(Entries_.front(), "is not a known section and key");
+  return Problem_;
+}
+
+} // namespace kumquatpitch
