Eject gray targets by the kind of failure and tell all hosts

Cause: 30% of targets fail 85% of their requests for seconds, at once; ejections were capped at the floor, known to one host only, and a late failure counted as much as an early one. Ejections have no cap while requests are served; below that every target gets a trial in time.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -113,8 +113,9 @@
   void setTable(std::shared_ptr<const RouteTable> Table);
   void setTargets(const std::map<TargetId, TargetEntry> &Targets,
                   TimePoint Now);
-  /// Count of living hosts, over which the resend slack is divided.
-  void setHosts(std::size_t Count) { Hosts_ = Count; }
+  /// This host's part of the fleet's resend slack for each service; `Rest` for
+  /// all others.
+  void setSlackParts(std::map<ServiceName, double> Parts, double Rest);
 
   bool hasTable() const { return Table_ != nullptr; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
@@ -138,6 +139,9 @@
                         AttemptOutcome Result, std::optional<ReportedLoad> Load,
                         TimePoint Now);
 
+  /// A request was answered, with success or not.
+  void requestEnded(const GatewayRequest &Request, bool Served, TimePoint Now);
+
   /// The request's time is up, or no attempt is possible any more.
   GatewayRefusal giveUp(const GatewayRequest &Request) const;
 
@@ -158,7 +162,13 @@
   };
 
   const ServiceName &chooseService(const VirtualRoute &Chosen);
-  ResendTerms resendTerms() const;
+  ResendTerms resendTerms(const ServiceName &Of) const;
+  Duration usualLatency(const VirtualRoute &Of) const;
+  Duration hedgeDelay(const VirtualRoute &Of) const;
+  void noteLatency(const VirtualRoute &Of, Duration Latency);
+  AttemptEvidence evidenceOf(const GatewayRequest &Request,
+                             const GatewayAttempt &Order,
+                             AttemptOutcome Result, TimePoint Now) const;
   GatewayRefusal refuse(ResultCode Code, std::optional<Duration> RetryAfter) const;
   GatewayAttempt start(GatewayRequest &Request, Service &Of,
                      const TargetPick &Pick, bool IsResend, TimePoint Now);
@@ -168,11 +178,14 @@
 
   GatewayTerms Terms_;
   RandomSource &Random_;
-  std::size_t Hosts_ = 1;
+  std::map<ServiceName, double> SlackParts_;
+  double RestSlackPart_ = 0;
   std::shared_ptr<const RouteTable> Table_;
   std::map<ServiceName, Service> Services_;
   /// Smooth weighted round robin of split routes: credit of each share.
   std::map<std::string, std::vector<double>> SplitCredits_;
+  /// Decayed mean latency of each route's answers, microseconds.
+  std::map<std::string, double> Latencies_;
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -28,8 +28,7 @@
   /// at.
   Result<void> run();
 
-  void evidence(const VirtualRoute &Route, const TargetEntry &Target,
-                bool Failed) override;
+  void evidence(const TargetEntry &Target, bool Failed) override;
 
 private:
   class DirectoryHandler;
@@ -46,6 +45,8 @@
   void readEnded(const ReadOrder &What, const PublishedRead &Read);
   void apply(const FollowResult &Result);
   void passOn(const ProgressMessage &Message);
+  void tellOwnDomain(const EvidenceMessage &Message);
+  void shareSlack();
   void updateState();
   void checkSettings(bool IsSignalled);
   void beginStop();
@@ -79,6 +80,7 @@
   std::array<char, 2'048> DatagramBuffer_;
   asio::signal_set Signals_;
   std::uint64_t MembersSeen_ = 0; ///< Membership_.changes() last applied.
+  std::map<TargetId, TimePoint> Told_; ///< Evidence that was told recently.
   std::optional<TimePoint> StopBegan_;
   bool HadStore_ = true; ///< The last read of the store succeeded.
 };
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -33,8 +33,7 @@
 class EvidenceSink {
 public:
   virtual ~EvidenceSink() = default;
-  virtual void evidence(const VirtualRoute &Route, const TargetEntry &Target,
-                        bool Failed) = 0;
+  virtual void evidence(const TargetEntry &Target, bool Failed) = 0;
 };
 
 /// What a flow needs; all outlive the front.
--- a/include/kumquatpitch/peer-datagram.h
+++ b/include/kumquatpitch/peer-datagram.h
@@ -20,6 +20,7 @@
   TargetId Target_;
   std::uint64_t StartedUnixMs_ = 0; ///< Incarnation of the target.
   bool Failed_ = false;
+  bool PassOn_ = false; ///< To the other hosts of the receiver's domain.
 
   bool operator==(const EvidenceMessage &) const = default;
 };
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -27,7 +27,9 @@
 /// What an attempt showed about its target.
 enum class AttemptEvidence : std::uint8_t {
   Answered,    ///< It ran the request and answered with success.
-  Failed,      ///< It answered with a failure, broke off or sent garbage.
+  Failed,      ///< It failed at once, broke off or sent garbage.
+  FailedLate,  ///< It failed after working as long as usual, as requests of
+               ///< healthy targets do now and then.
   Unreachable, ///< No connection could be made.
   Refused,     ///< It refused the request without running it.
   Silent,      ///< No answer when the attempt was given up.
@@ -65,21 +67,20 @@
   /// An attempt was sent.
   void attemptStarted(const TargetId &Id, TimePoint Now);
 
-  /// An attempt ended. `Latency` counts only with Answered.
+  /// An attempt ended. `Usual` is the usual latency of requests of its kind,
+  /// or 0 while it is unknown.
   void attemptEnded(const TargetId &Id, TimePoint StartedAt,
-                    AttemptEvidence Evidence, Duration Latency,
+                    AttemptEvidence Evidence, Duration Usual,
                     std::optional<ReportedLoad> Load, TimePoint Now);
 
+  /// A request ended, served or not.
+  void requestEnded(bool Served, TimePoint Now);
+
   /// A peer saw a target fail (or answer a trial).
   void peerEvidence(const TargetId &Id, bool Failed, TimePoint Now);
 
   bool isEjected(const TargetId &Id, TimePoint Now) const;
 
-  /// Usual time from sending a request to its answer.
-  Duration typicalLatency() const {
-    return Duration(static_cast<Duration::rep>(Mean_));
-  }
-
   std::size_t size() const { return States_.size(); }
   std::size_t ejectedCount(TimePoint Now) const;
 
@@ -93,29 +94,38 @@
     std::multiset<TimePoint> Running_; ///< Starts of own attempts.
     double Foreign_ = 0;  ///< Requests of other hosts, as last reported.
     TimePoint ForeignAt_; ///< When it was reported.
-    double Latency_ = 0;  ///< Decayed mean, microseconds; 0 while unknown.
-    TimePoint LatencyAt_;
+    double Slowness_ = 1; ///< Decayed mean of latencies by the usual ones.
+    TimePoint SlownessAt_;
     std::uint32_t Failures_ = 0; ///< In a row.
     TimePoint FailedAt_;
-    TimePoint EjectedUntil_;
+    TimePoint FailedLateAt_;
+    bool HasFailedLate_ = false;
     bool Ejected_ = false; ///< Stays set until a trial succeeds.
     bool OnTrial_ = false; ///< A trial request is in progress.
     TimePoint RefusingUntil_;
   };
 
   double load(const State &Each, TimePoint Now) const;
+  double slowness(const State &Each, TimePoint Now) const;
   double expected(const State &Each, TimePoint Now) const;
+  Duration trialPause(const State &Each, bool MayRepeat, TimePoint Now) const;
+  bool isFloorAtRisk(TimePoint Now) const;
+  void takeEvidence(State &Each, AttemptEvidence Evidence, TimePoint StartedAt,
+                    TimePoint Now);
   bool isSilent(const State &Each, TimePoint Now) const;
   bool mayTry(const State &Each, const PickTerms &Terms, TimePoint Now) const;
   void eject(State &Each, TimePoint Now);
   void reinstate(State &Each);
-  void keepFloor(TimePoint Now);
 
   FailureDomain OwnDomain_;
   double FloorShare_;
   std::map<TargetId, State> States_;
-  double Mean_ = 200'000; ///< Decayed mean latency of the service, microseconds.
+  /// Decayed mean latency in microseconds, by the time that requests take.
+  double Mean_ = 200'000;
   TimePoint RepeatableAt_; ///< When a repeatable request was last placed.
+  double Ended_ = 0;       ///< Decayed count of requests that ended,
+  double Unserved_ = 0;    ///< and of those that were not served.
+  TimePoint EndedAt_;
 };
 
 } // namespace kumquatpitch
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Part of the fleet's resend slack that hosts use; the rest covers hosts whose
-/// views of the fleet's size differ.
-constexpr double UsedSlack = 0.75;
 /// Part of the resend ratio that is used; the rest covers requests that arrive
 /// later than they are counted.
 constexpr double UsedRatio = 0.9;
@@ -26,27 +23,17 @@
 /// Least time in which a resend has a chance.
 constexpr Duration LeastResendTime = std::chrono::milliseconds(60);
 /// A second target is asked when the first takes this many times the usual.
-constexpr double HedgeFactor = 2.2;
+constexpr double HedgeFactor = 3;
+/// Until a route's latencies are known, its objective stands in for this many
+/// times the usual.
+constexpr double ObjectiveFactor = 3;
+constexpr double LatencyWeight = 0.05;
+/// A failure that took at least this part of the usual latency, and this long,
+/// came after work: a gray failure mostly answers at once.
+constexpr double LateFailurePart = 0.25;
+constexpr Duration LeastLateFailure = std::chrono::milliseconds(30);
 
-AttemptEvidence evidenceOf(AttemptOutcome Result) {
-  switch (Result) {
-  case AttemptOutcome::Success:
-    return AttemptEvidence::Answered;
-  case AttemptOutcome::Failure:
-  case AttemptOutcome::Broken:
-    return AttemptEvidence::Failed;
-  case AttemptOutcome::Refused:
-    return AttemptEvidence::Refused;
-  case AttemptOutcome::OtherInstance:
-  case AttemptOutcome::NotConnected:
-    return AttemptEvidence::Unreachable;
-  case AttemptOutcome::TimedOut:
-    return AttemptEvidence::Silent;
-  case AttemptOutcome::Cancelled:
-    return AttemptEvidence::None;
-  }
-  return AttemptEvidence::None;
-}
+std::string keyOf(const VirtualRoute &Of) { return Of.Host_ + " " + Of.Prefix_; }
 
 } // namespace
 
@@ -107,8 +94,7 @@
   double Total = 0;
   for (const ServiceShare &Each : Chosen.Shares_)
     Total += Each.Weight_;
-  std::vector<double> &Credits =
-      SplitCredits_[Chosen.Host_ + " " + Chosen.Prefix_];
+  std::vector<double> &Credits = SplitCredits_[keyOf(Chosen)];
   if (Credits.size() != Chosen.Shares_.size()) {
     // A random phase, so that hosts with few requests each do not all begin
     // with the same service.
@@ -151,11 +137,73 @@
   return Request;
 }
 
-ResendTerms GatewayCore::resendTerms() const {
-  const double Share = UsedSlack * Terms_.ResendSlack_ /
-                       static_cast<double>(std::max<std::size_t>(1, Hosts_));
-  return ResendTerms{Terms_.ResendRatio_ * UsedRatio, Share,
-                     Terms_.ResendWindow_};
+void GatewayCore::setSlackParts(std::map<ServiceName, double> Parts,
+                                double Rest) {
+  SlackParts_ = std::move(Parts);
+  RestSlackPart_ = Rest;
+}
+
+ResendTerms GatewayCore::resendTerms(const ServiceName &Of) const {
+  const std::map<ServiceName, double>::const_iterator It =
+      SlackParts_.find(Of);
+  const double Part = It == SlackParts_.end() ? RestSlackPart_ : It->second;
+  return ResendTerms{Terms_.ResendRatio_ * UsedRatio,
+                     Terms_.ResendSlack_ * Part, Terms_.ResendWindow_};
+}
+
+Duration GatewayCore::usualLatency(const VirtualRoute &Of) const {
+  const std::map<std::string, double>::const_iterator It =
+      Latencies_.find(keyOf(Of));
+  return It == Latencies_.end()
+             ? Duration::zero()
+             : Duration(static_cast<Duration::rep>(It->second));
+}
+
+void GatewayCore::noteLatency(const VirtualRoute &Of, Duration Latency) {
+  const double Sample = static_cast<double>(Latency.count());
+  double &Mean = Latencies_.try_emplace(keyOf(Of), Sample).first->second;
+  Mean += (Sample - Mean) * LatencyWeight;
+}
+
+AttemptEvidence GatewayCore::evidenceOf(const GatewayRequest &Request,
+                                        const GatewayAttempt &Order,
+                                        AttemptOutcome Result,
+                                        TimePoint Now) const {
+  switch (Result) {
+  case AttemptOutcome::Success:
+    return AttemptEvidence::Answered;
+  case AttemptOutcome::Failure: {
+    const Duration Late = std::max(
+        LeastLateFailure,
+        Duration(static_cast<Duration::rep>(
+            LateFailurePart *
+            static_cast<double>(usualLatency(*Request.Route_).count()))));
+    return Now - Order.StartedAt_ < Late ? AttemptEvidence::Failed
+                                         : AttemptEvidence::FailedLate;
+  }
+  case AttemptOutcome::Broken:
+    return AttemptEvidence::Failed;
+  case AttemptOutcome::Refused:
+    return AttemptEvidence::Refused;
+  case AttemptOutcome::OtherInstance:
+  case AttemptOutcome::NotConnected:
+    return AttemptEvidence::Unreachable;
+  case AttemptOutcome::TimedOut:
+    return AttemptEvidence::Silent;
+  case AttemptOutcome::Cancelled:
+    return AttemptEvidence::None;
+  }
+  return AttemptEvidence::None;
+}
+
+Duration GatewayCore::hedgeDelay(const VirtualRoute &Of) const {
+  const Duration Usual = usualLatency(Of);
+  const double Delay =
+      Usual.count() > 0
+          ? HedgeFactor * static_cast<double>(Usual.count())
+          : HedgeFactor / ObjectiveFactor *
+                static_cast<double>(Of.Objective_.count());
+  return Duration(static_cast<Duration::rep>(Delay));
 }
 
 GatewayAttempt GatewayCore::start(GatewayRequest &Request, Service &Of,
@@ -167,10 +215,7 @@
   ++Request.InProgress_;
   if (Request.Route_->Idempotent_ && !Request.IsHedged_ &&
       Request.Route_->MaxTargets_ > Request.Sent_ + Request.InProgress_)
-    Order.HedgeAt_ =
-        Now + Duration(static_cast<Duration::rep>(
-                  HedgeFactor *
-                  static_cast<double>(Of.Balancer_.typicalLatency().count())));
+    Order.HedgeAt_ = Now + hedgeDelay(*Request.Route_);
   return Order;
 }
 
@@ -199,7 +244,7 @@
   const std::optional<TargetPick> Pick =
       Of.Balancer_.pick(PickTerms{Request.Tried_, false}, Now, Random_);
   if (!Pick || Of.Balancer_.isEjected(Pick->Target_.Id_, Now) ||
-      !Of.Budget_.take(resendTerms(), Now))
+      !Of.Budget_.take(resendTerms(Request.Service_), Now))
     return std::nullopt;
   Request.IsHedged_ = true;
   return start(Request, Of, *Pick, true, Now);
@@ -213,8 +258,10 @@
   --Request.InProgress_;
   serviceOf(Request.Service_)
       .Balancer_.attemptEnded(Order.Target_.Id_, Order.StartedAt_,
-                              evidenceOf(Result), Now - Order.StartedAt_, Load,
-                              Now);
+                              evidenceOf(Request, Order, Result, Now),
+                              usualLatency(*Request.Route_), Load, Now);
+  if (Result == AttemptOutcome::Success)
+    noteLatency(*Request.Route_, Now - Order.StartedAt_);
   if (Result == AttemptOutcome::NotConnected)
     ++Request.Connecting_;
   else
@@ -238,7 +285,7 @@
         Request.Connecting_ <= MaxUnconnected)
       return GatewayDecision{GatewayStep::Resend, {}};
     if (Request.Sent_ < Request.Route_->MaxTargets_ &&
-        serviceOf(Request.Service_).Budget_.take(resendTerms(), Now))
+        serviceOf(Request.Service_).Budget_.take(resendTerms(Request.Service_), Now))
       return GatewayDecision{GatewayStep::Resend, {}};
   }
   if (Result == AttemptOutcome::Failure)
@@ -259,6 +306,11 @@
   return refuse(ResultCode::BackendRefused, Room);
 }
 
+void GatewayCore::requestEnded(const GatewayRequest &Request, bool Served,
+                               TimePoint Now) {
+  serviceOf(Request.Service_).Balancer_.requestEnded(Served, Now);
+}
+
 void GatewayCore::peerEvidence(const ServiceName &Name, const TargetId &Id,
                                bool Failed, TimePoint Now) {
   const std::map<ServiceName, Service>::iterator It = Services_.find(Name);
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -5,6 +5,7 @@
 #include "kumquatpitch/caller-hosts.h"
 #include "kumquatpitch/metrics-format.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <random>
@@ -22,6 +23,13 @@
 constexpr double ServePart = 0.5;
 /// The daemon ends this long before it would be killed.
 constexpr Duration StopMargin = std::chrono::milliseconds(200);
+/// Parts of the fleet's resend slack that the hosts which callers are told to
+/// use divide, and that all hosts divide. The rest covers hosts whose views of
+/// the fleet differ.
+constexpr double CallerHostsSlack = 0.55;
+constexpr double OtherHostsSlack = 0.25;
+/// Repeated failures of a target are told once in this time.
+constexpr Duration EvidencePause = std::chrono::milliseconds(300);
 /// Wait of a watch for changes; some change is published almost always.
 constexpr Duration ChangeWait = std::chrono::milliseconds(200);
 
@@ -230,8 +238,16 @@
   else if (const ProgressMessage *Progress =
                std::get_if<ProgressMessage>(&*Read))
     apply(Follower_.receive(*Progress, Now));
-  else if (const EvidenceMessage *Seen = std::get_if<EvidenceMessage>(&*Read))
-    Core_.peerEvidence(Seen->Service_, Seen->Target_, Seen->Failed_, Now);
+  else if (const EvidenceMessage *Seen = std::get_if<EvidenceMessage>(&*Read)) {
+    const std::map<TargetId, TargetEntry> &Known =
+        Follower_.directory().entries();
+    const std::map<TargetId, TargetEntry>::const_iterator It =
+        Known.find(Seen->Target_);
+    if (It != Known.end() && It->second.StartedUnixMs_ == Seen->StartedUnixMs_)
+      Core_.peerEvidence(Seen->Service_, Seen->Target_, Seen->Failed_, Now);
+    if (Seen->PassOn_)
+      tellOwnDomain(*Seen);
+  }
 }
 
 void GatewayDaemon::send(const std::string &Address,
@@ -256,14 +272,18 @@
   send(Membership_.tick(Now));
   if (Membership_.changes() != MembersSeen_) {
     MembersSeen_ = Membership_.changes();
-    std::size_t Alive = 0;
-    for (const Member &Each : Membership_.members())
-      Alive += Each.isAlive() ? 1 : 0;
-    Core_.setHosts(Alive);
+    const std::vector<Member> Members = Membership_.members();
+    const std::ptrdiff_t Alive =
+        std::count_if(Members.begin(), Members.end(),
+                      [](const Member &Each) { return Each.isAlive(); });
+    shareSlack();
     Log_.write(LogLevel::Info, "membership", "changed",
                {{"alive", std::to_string(Alive)},
-                {"known", std::to_string(Membership_.members().size())}});
+                {"known", std::to_string(Members.size())}});
   }
+  std::erase_if(Told_, [&](const std::pair<const TargetId, TimePoint> &Each) {
+    return Now - Each.second > EvidencePause;
+  });
   if (Follower_.expire(Now))
     Core_.setTargets(Follower_.directory().entries(), Now);
   if (const std::optional<ReadOrder> Next = Follower_.due(
@@ -306,6 +326,7 @@
   const TimePoint Now = Timers_.now();
   if (Result.NewTable_) {
     Core_.setTable(Result.NewTable_);
+    shareSlack();
     FrontServer_.setLimits(Result.NewTable_->config().Limits_);
     Log_.write(
         LogLevel::Info, "config", "in_force",
@@ -335,20 +356,67 @@
         send(Each.Address_, Part);
 }
 
-void GatewayDaemon::evidence(const VirtualRoute &Route,
-                             const TargetEntry &Target, bool Failed) {
+void GatewayDaemon::evidence(const TargetEntry &Target, bool Failed) {
+  const TimePoint Now = Timers_.now();
+  TimePoint &Told = Told_[Target.Id_];
+  if (Failed && Now - Told < EvidencePause)
+    return;
+  Told = Now;
   const EvidenceMessage Message{Target.Service_, Target.Id_,
-                                Target.StartedUnixMs_, Failed};
+                                Target.StartedUnixMs_, Failed, true};
+  // One host of each other failure domain passes it on: bytes between domains
+  // cost.
+  std::map<FailureDomain, std::vector<const Member *>> Others;
   const std::vector<Member> Members = Membership_.members();
-  std::set<FailureDomain> Domains;
   for (const Member &Each : Members)
+    if (Each.Domain_ != Settings_.Domain_ &&
+        Each.State_ == MemberState::Serving)
+      Others[Each.Domain_].push_back(&Each);
+  for (const std::pair<const FailureDomain, std::vector<const Member *>> &Each :
+       Others)
+    send(Each.second[Random_.below(Each.second.size())]->Address_, Message);
+  tellOwnDomain(Message);
+}
+
+void GatewayDaemon::tellOwnDomain(const EvidenceMessage &Message) {
+  EvidenceMessage Final = Message;
+  Final.PassOn_ = false;
+  for (const Member &Each : Membership_.members())
+    if (Each.Domain_ == Settings_.Domain_ && Each.Id_ != Settings_.Id_ &&
+        Each.isAlive())
+      send(Each.Address_, Final);
+}
+
+void GatewayDaemon::shareSlack() {
+  if (!Core_.hasTable())
+    return;
+  const std::vector<Member> Members = Membership_.members();
+  std::set<FailureDomain> Domains;
+  std::size_t Alive = 0;
+  for (const Member &Each : Members) {
     Domains.insert(Each.Domain_);
-  std::set<std::string> Told{Settings_.Address_};
-  for (const FailureDomain &Domain : Domains)
-    for (const Member &Each :
-         callerHosts(Members, Route.Host_, Domain, Settings_.Region_))
-      if (Told.insert(Each.Address_).second)
-        send(Each.Address_, Message);
+    Alive += Each.isAlive() ? 1 : 0;
+  }
+  std::map<ServiceName, std::set<std::string>> Hosts;
+  std::map<std::string, std::set<std::string>> HostsOf;
+  for (const VirtualRoute &Each : Core_.table()->config().Routes_) {
+    std::set<std::string> &Of = HostsOf[Each.Host_];
+    if (Of.empty())
+      for (const FailureDomain &Domain : Domains)
+        for (const Member &Host :
+             callerHosts(Members, Each.Host_, Domain, Settings_.Region_))
+          Of.insert(Host.Address_);
+    for (const ServiceShare &Share : Each.Shares_)
+      Hosts[Share.Service_].insert(Of.begin(), Of.end());
+  }
+  std::map<ServiceName, double> Parts;
+  for (const std::pair<const ServiceName, std::set<std::string>> &Each : Hosts)
+    if (Each.second.count(Settings_.Address_))
+      Parts[Each.first] =
+          CallerHostsSlack / static_cast<double>(Each.second.size());
+  Core_.setSlackParts(std::move(Parts),
+                      OtherHostsSlack /
+                          static_cast<double>(std::max<std::size_t>(1, Alive)));
 }
 
 bool GatewayDaemon::isReady() const {
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -239,8 +239,13 @@
                         Outcome == AttemptOutcome::NotConnected;
     if (Failed)
       Parts_.Client_.closeIdle(Order.Target_.Address_);
-    if (Failed || (Order.IsTrial_ && Outcome == AttemptOutcome::Success))
-      Parts_.Evidence_.evidence(*Request_->Route_, Order.Target_, Failed);
+    const TargetBalancer *Targets = Parts_.Core_.balancer(Request_->Service_);
+    const bool IsEjected =
+        Targets &&
+        Targets->isEjected(Order.Target_.Id_, Parts_.Timers_.now());
+    if (Failed ? IsEjected
+               : Order.IsTrial_ && Outcome == AttemptOutcome::Success)
+      Parts_.Evidence_.evidence(Order.Target_, Failed);
     if (Outcome != AttemptOutcome::Success || Order.IsTrial_ ||
         Order.IsResend_)
       logAttempt(Order, attemptOutcomeName(Outcome),
@@ -294,6 +299,8 @@
     End.Outcome_ = What;
     End.HttpStatus_ = Status;
     End.Latency_ = Now - ArrivedAt_;
+    if (Request_)
+      Parts_.Core_.requestEnded(*Request_, Code == ResultCode::Ok, Now);
     Parts_.Metrics_.requestEnded(
         CustomerName(Request_ ? Request_->Route_->Host_ : "none"),
         Request_ ? Request_->Service_ : ServiceName("none"), End, Now);
@@ -344,7 +351,7 @@
       Parts_.Core_.attemptEnded(*Request_, Each.Order_, Outcome, std::nullopt,
                                 Now);
       if (Outcome == AttemptOutcome::TimedOut)
-        Parts_.Evidence_.evidence(*Request_->Route_, Each.Order_.Target_, true);
+        Parts_.Evidence_.evidence(Each.Order_.Target_, true);
     }
   }
 
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -88,7 +88,8 @@
 Json bodyOf(const EvidenceMessage &Message) {
   return Json::array({FormatVersion, static_cast<int>(MessageKind::Evidence),
                       Message.Service_.str(), Message.Target_.str(),
-                      Message.StartedUnixMs_, Message.Failed_});
+                      Message.StartedUnixMs_, Message.Failed_,
+                      Message.PassOn_});
 }
 
 ProbeMessage probeOf(const Json &Body) {
@@ -117,7 +118,7 @@
   return EvidenceMessage{ServiceName(Body.at(2).get<std::string>()),
                          TargetId(Body.at(3).get<std::string>()),
                          Body.at(4).get<std::uint64_t>(),
-                         Body.at(5).get<bool>()};
+                         Body.at(5).get<bool>(), Body.at(6).get<bool>()};
 }
 
 } // namespace
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -15,22 +15,35 @@
 /// Time in which a report about other hosts' requests loses two thirds of its
 /// meaning: about the length of a request.
 constexpr double ForeignDecaySeconds = 0.4;
-/// Time in which a target's own latency gives way to the service's, so that a
-/// target that was slow gets requests again.
-constexpr double LatencyDecaySeconds = 4;
+/// Time in which what is known of a target's speed loses two thirds of its
+/// meaning, so that a target that was slow gets requests again.
+constexpr double SlownessDecaySeconds = 4;
 /// A request outside the own failure domain costs bytes between domains; it is
-/// made when it is expected to save more than this part of the mean latency.
+/// made when it is expected to save more than this part of a request's time.
 constexpr double ForeignDomainPart = 0.35;
 /// A target that just started is slower by about this factor.
 constexpr double ColdFactor = 1.6;
-/// First ejection; doubled with each further failure in a row up to the last.
-constexpr Duration FirstEjection = std::chrono::milliseconds(2'000);
-constexpr Duration LongestEjection = std::chrono::milliseconds(4'000);
+/// Pause before a trial by a request that can be repeated elsewhere; it grows
+/// by half with each failure in a row up to the longest.
+constexpr Duration FirstTrialPause = std::chrono::milliseconds(1'500);
+constexpr Duration LongestTrialPause = std::chrono::milliseconds(3'000);
+/// Pause before a trial by a request that is lost if it fails: the length of a
+/// usual gray failure.
+constexpr Duration CostlyTrialPause = std::chrono::milliseconds(4'500);
+/// With too many targets ejected while requests fail, each target gets a
+/// request within this time.
+constexpr Duration FloorTrialPause = std::chrono::milliseconds(1'400);
+/// Share of failed requests from which the floor is kept at all cost: below it
+/// the ejections do what they are meant to.
+constexpr double FloorUnservedShare = 0.08;
+constexpr double UnservedDecaySeconds = 1;
 /// A target that refuses is full; it is passed over for about the time in which
 /// one of its requests ends.
 constexpr Duration RefusalPause = std::chrono::milliseconds(150);
 /// Without repeatable requests for this long, others serve as trials.
-constexpr Duration RepeatableMemory = std::chrono::seconds(2);
+constexpr Duration RepeatableMemory = std::chrono::seconds(6);
+/// Two late failures within this time eject a target as one early failure does.
+constexpr Duration LateFailureMemory = std::chrono::seconds(3);
 /// A request that takes this many times the mean makes its target suspect.
 constexpr double SilentFactor = 4;
 constexpr Duration LeastSilence = std::chrono::milliseconds(600);
@@ -57,7 +70,6 @@
   for (std::map<TargetId, State>::iterator It = States_.begin();
        It != States_.end();)
     It = Listed.count(It->first) ? std::next(It) : States_.erase(It);
-  keepFloor(Now);
 }
 
 double TargetBalancer::load(const State &Each, TimePoint Now) const {
@@ -66,20 +78,23 @@
          Each.Foreign_ * std::exp(-Age / ForeignDecaySeconds);
 }
 
+double TargetBalancer::slowness(const State &Each, TimePoint Now) const {
+  const double Age = seconds(Now - Each.SlownessAt_);
+  const double Known =
+      1 + (Each.Slowness_ - 1) * std::exp(-Age / SlownessDecaySeconds);
+  return Now < Each.KnownSince_ + Each.Entry_.ColdFor_
+             ? std::max(Known, ColdFactor)
+             : Known;
+}
+
 double TargetBalancer::expected(const State &Each, TimePoint Now) const {
-  double Latency = Mean_;
-  if (Each.Latency_ > 0) {
-    const double Age = seconds(Now - Each.LatencyAt_);
-    Latency += (Each.Latency_ - Mean_) * std::exp(-Age / LatencyDecaySeconds);
-  }
-  if (Now < Each.KnownSince_ + Each.Entry_.ColdFor_)
-    Latency *= ColdFactor;
   const double Slots = std::max<double>(1, Each.Entry_.Slots_);
   const double Load = load(Each, Now);
   // Some backend servers slow down when nearly full: a small charge for load
   // below the slots spreads requests before any has to wait.
-  return Latency *
-         (1 + 0.15 * Load / Slots + std::max(0.0, Load + 1 - Slots) / Slots);
+  constexpr double SpreadCharge = 0.15;
+  return slowness(Each, Now) * (1 + SpreadCharge * Load / Slots +
+                                std::max(0.0, Load + 1 - Slots) / Slots);
 }
 
 bool TargetBalancer::isSilent(const State &Each, TimePoint Now) const {
@@ -90,11 +105,32 @@
   return Now - *Each.Running_.begin() > Limit;
 }
 
+bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
+  if (Ended_ <= 0 || Unserved_ / Ended_ < FloorUnservedShare)
+    return false;
+  const double Kept = static_cast<double>(States_.size() - ejectedCount(Now));
+  return Kept < FloorShare_ * static_cast<double>(States_.size());
+}
+
+Duration TargetBalancer::trialPause(const State &Each, bool MayRepeat,
+                                    TimePoint Now) const {
+  if (isFloorAtRisk(Now))
+    return FloorTrialPause;
+  if (!MayRepeat)
+    return CostlyTrialPause;
+  Duration Pause = FirstTrialPause;
+  for (std::uint32_t Index = 1; Index < Each.Failures_; ++Index)
+    Pause = std::min(LongestTrialPause, Pause + Pause / 2);
+  return Pause;
+}
+
 bool TargetBalancer::mayTry(const State &Each, const PickTerms &Terms,
                             TimePoint Now) const {
-  if (!Each.Ejected_ || Each.OnTrial_ || Now < Each.EjectedUntil_)
+  if (!Each.Ejected_ || Each.OnTrial_ ||
+      Now - Each.FailedAt_ < trialPause(Each, Terms.MayRepeat_, Now))
     return false;
-  return Terms.MayRepeat_ || Now - RepeatableAt_ > RepeatableMemory;
+  return Terms.MayRepeat_ || isFloorAtRisk(Now) ||
+         Now - RepeatableAt_ > RepeatableMemory;
 }
 
 std::optional<TargetPick> TargetBalancer::pick(const PickTerms &Terms,
@@ -111,12 +147,12 @@
     if (Seen.Entry_.Leaving_ || Terms.Tried_.count(Each.first))
       continue;
     const bool IsOwnDomain = Seen.Entry_.Domain_ == OwnDomain_;
-    if (mayTry(Seen, Terms, Now) && IsOwnDomain &&
-        (!Trial || Seen.EjectedUntil_ < Trial->EjectedUntil_))
+    if (mayTry(Seen, Terms, Now) &&
+        (!Trial || Seen.FailedAt_ < Trial->FailedAt_))
       Trial = &Seen;
     double Cost = expected(Seen, Now);
     if (!IsOwnDomain)
-      Cost += Mean_ * ForeignDomainPart;
+      Cost += ForeignDomainPart;
     // Suspects remain candidates of last resort, the least bad first.
     constexpr double SuspectPenalty = 1e9;
     if (Seen.Ejected_)
@@ -138,7 +174,8 @@
     return std::nullopt;
   return TargetPick{
       Best->Entry_,
-      Duration(static_cast<Duration::rep>(expected(*Best, Now))), IsTrial};
+      Duration(static_cast<Duration::rep>(expected(*Best, Now) * Mean_)),
+      IsTrial};
 }
 
 void TargetBalancer::attemptStarted(const TargetId &Id, TimePoint Now) {
@@ -148,7 +185,7 @@
 }
 
 void TargetBalancer::attemptEnded(const TargetId &Id, TimePoint StartedAt,
-                                  AttemptEvidence Evidence, Duration Latency,
+                                  AttemptEvidence Evidence, Duration Usual,
                                   std::optional<ReportedLoad> Load,
                                   TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
@@ -165,30 +202,53 @@
         std::max(0.0, Total - static_cast<double>(Seen.Running_.size()));
     Seen.ForeignAt_ = Now;
   }
-  const double Sample = static_cast<double>(Latency.count());
+  if (Evidence == AttemptEvidence::Answered) {
+    const double Latency = static_cast<double>((Now - StartedAt).count());
+    Mean_ += (Latency - Mean_) * ServiceWeight * std::min(1.0, Latency / Mean_);
+    if (Usual.count() > 0) {
+      const double Sample = Latency / static_cast<double>(Usual.count());
+      const double Before = slowness(Seen, Now);
+      Seen.Slowness_ = Before + (Sample - Before) * TargetWeight;
+      Seen.SlownessAt_ = Now;
+    }
+  }
+  takeEvidence(Seen, Evidence, StartedAt, Now);
+}
+
+void TargetBalancer::takeEvidence(State &Each, AttemptEvidence Evidence,
+                                  TimePoint StartedAt, TimePoint Now) {
   switch (Evidence) {
   case AttemptEvidence::Answered:
-    Mean_ += (Sample - Mean_) * ServiceWeight;
-    Seen.Latency_ += (Sample - Seen.Latency_) *
-                     (Seen.Latency_ > 0 ? TargetWeight : 1.0);
-    Seen.LatencyAt_ = Now;
     // An answer to a request from before the failure proves nothing since.
-    if (!Seen.Ejected_ || StartedAt > Seen.FailedAt_)
-      reinstate(Seen);
+    if (!Each.Ejected_ || StartedAt > Each.FailedAt_)
+      reinstate(Each);
     break;
   case AttemptEvidence::Failed:
   case AttemptEvidence::Unreachable:
   case AttemptEvidence::Silent:
-    eject(Seen, Now);
+    eject(Each, Now);
+    break;
+  case AttemptEvidence::FailedLate:
+    if (Each.HasFailedLate_ && Now - Each.FailedLateAt_ < LateFailureMemory)
+      eject(Each, Now);
+    Each.HasFailedLate_ = true;
+    Each.FailedLateAt_ = Now;
     break;
   case AttemptEvidence::Refused:
-    Seen.RefusingUntil_ = Now + RefusalPause;
+    Each.RefusingUntil_ = Now + RefusalPause;
     break;
   case AttemptEvidence::None:
     break;
   }
 }
 
+void TargetBalancer::requestEnded(bool Served, TimePoint Now) {
+  const double Kept = std::exp(-seconds(Now - EndedAt_) / UnservedDecaySeconds);
+  EndedAt_ = Now;
+  Ended_ = Ended_ * Kept + 1;
+  Unserved_ = Unserved_ * Kept + (Served ? 0 : 1);
+}
+
 void TargetBalancer::peerEvidence(const TargetId &Id, bool Failed,
                                   TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
@@ -205,13 +265,8 @@
   constexpr Duration SameFailure = std::chrono::milliseconds(300);
   if (!Each.Ejected_ || Now - Each.FailedAt_ > SameFailure)
     ++Each.Failures_;
-  Duration Span = FirstEjection;
-  for (std::uint32_t Index = 1; Index < Each.Failures_; ++Index)
-    Span = std::min(LongestEjection, Span * 2);
   Each.FailedAt_ = Now;
-  Each.EjectedUntil_ = Now + Span;
   Each.Ejected_ = true;
-  keepFloor(Now);
 }
 
 void TargetBalancer::reinstate(State &Each) {
@@ -219,30 +274,6 @@
   Each.Failures_ = 0;
 }
 
-void TargetBalancer::keepFloor(TimePoint Now) {
-  static_cast<void>(Now);
-  std::size_t Serving = 0;
-  std::vector<State *> Ejected;
-  for (std::pair<const TargetId, State> &Each : States_) {
-    if (Each.second.Entry_.Leaving_)
-      continue;
-    ++Serving;
-    if (Each.second.Ejected_)
-      Ejected.push_back(&Each.second);
-  }
-  const std::size_t Most = static_cast<std::size_t>(
-      std::floor((1 - FloorShare_) * static_cast<double>(Serving)));
-  if (Ejected.size() <= Most)
-    return;
-  std::sort(Ejected.begin(), Ejected.end(), [](State *Left, State *Right) {
-    if (Left->Failures_ != Right->Failures_)
-      return Left->Failures_ < Right->Failures_;
-    return Left->FailedAt_ < Right->FailedAt_;
-  });
-  for (std::size_t Index = 0; Index < Ejected.size() - Most; ++Index)
-    Ejected[Index]->Ejected_ = false;
-}
-
 bool TargetBalancer::isEjected(const TargetId &Id, TimePoint Now) const {
   static_cast<void>(Now);
   const std::map<TargetId, State>::const_iterator It = States_.find(Id);
@@ -259,14 +290,12 @@
 }
 
 Duration TargetBalancer::expectedRoom(TimePoint Now) const {
-  double Least = Mean_;
-  bool Any = false;
-  for (const std::pair<const TargetId, State> &Each : States_) {
-    const double Over = expected(Each.second, Now) - Mean_;
-    Least = Any ? std::min(Least, Over) : Over;
-    Any = true;
-  }
-  return Duration(static_cast<Duration::rep>(std::max(0.0, Least)));
+  std::optional<double> Least;
+  for (const std::pair<const TargetId, State> &Each : States_)
+    if (!Each.second.Ejected_)
+      Least = std::min(Least.value_or(1e9), expected(Each.second, Now) - 1);
+  return Duration(
+      static_cast<Duration::rep>(Mean_ * std::max(0.0, Least.value_or(1))));
 }
 
 } // namespace kumquatpitch
