--- a/include/kumquatpitch/caller-hosts.h
+++ b/include/kumquatpitch/caller-hosts.h
@@ -13,9 +13,9 @@
 namespace kumquatpitch {
 
 /// One host in this many of a failure domain serves a virtual host's callers.
-constexpr std::size_t HostsPerCallerHost = 8;
+constexpr std::size_t HostsPerCallerHost = 20;
 /// Fewest and most hosts in an answer, where there are so many.
-constexpr std::size_t LeastCallerHosts = 2;
+constexpr std::size_t LeastCallerHosts = 1;
 constexpr std::size_t MostCallerHosts = 64;
 
 /// Hosts for the callers of `VirtualHost` in `Domain`, most preferred first.
--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -62,6 +62,7 @@
   std::uint32_t InProgress_ = 0;
   bool MayHaveRun_ = false;
   bool IsHedged_ = false;
+  bool Waits_ = false; ///< For room at a target.
 };
 
 /// An attempt to make now.
@@ -76,6 +77,13 @@
   bool operator==(const GatewayAttempt &) const = default;
 };
 
+/// The request waits for room at a target; release() places it.
+struct WaitsForRoom {
+  bool operator==(const WaitsForRoom &) const = default;
+};
+
+using Placement = std::variant<GatewayRefusal, GatewayAttempt, WaitsForRoom>;
+
 /// How an attempt ended, as seen on the connection.
 enum class AttemptOutcome : std::uint8_t {
   Success,       ///< Whole answer with success.
@@ -124,10 +132,19 @@
   std::variant<GatewayRefusal, std::shared_ptr<GatewayRequest>>
   admit(const RequestHead &Head, TimePoint Now);
 
-  /// Chooses the target of the next attempt, or refuses. The attempt counts as
-  /// in progress until attemptEnded().
-  std::variant<GatewayRefusal, GatewayAttempt> place(GatewayRequest &Request,
-                                            TimePoint Now);
+  /// Chooses the target of the next attempt, refuses, or lets the request wait.
+  /// An attempt counts as in progress until attemptEnded().
+  Placement place(const std::shared_ptr<GatewayRequest> &Request,
+                  TimePoint Now);
+
+  /// Places waiting requests for which there is room now, and refuses those
+  /// that cannot be done in time. To be called when an attempt has ended and a
+  /// few times a second.
+  std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>
+  release(TimePoint Now);
+
+  /// A waiting request has ended otherwise.
+  void withdraw(const GatewayRequest &Request);
 
   /// A second attempt beside the first, which is slow; none when the budget or
   /// the targets do not allow it.
@@ -159,7 +176,10 @@
 
     TargetBalancer Balancer_;
     ResendBudget Budget_;
+    std::vector<std::shared_ptr<GatewayRequest>> Waiting_;
   };
+  using Released =
+      std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>;
 
   const ServiceName &chooseService(const VirtualRoute &Chosen);
   ResendTerms resendTerms(const ServiceName &Of) const;
@@ -172,6 +192,10 @@
   GatewayRefusal refuse(ResultCode Code, std::optional<Duration> RetryAfter) const;
   GatewayAttempt start(GatewayRequest &Request, Service &Of,
                      const TargetPick &Pick, bool IsResend, TimePoint Now);
+  Placement tryToPlace(GatewayRequest &Request, Service &Of, TimePoint Now);
+  PickTerms pickTerms(const GatewayRequest &Request, TimePoint Now) const;
+  void releaseService(Service &Of, TimePoint Now, Released &Out);
+  void orderWaiting(Service &Of, TimePoint Now) const;
   GatewayDecision afterFailure(GatewayRequest &Request, AttemptOutcome Result,
                         TimePoint Now);
   Service &serviceOf(const ServiceName &Name);
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -13,6 +13,8 @@
 #include "kumquatpitch/timer-service.h"
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace kumquatpitch {
@@ -48,9 +50,12 @@
   GatewayHeaders Headers_;
 };
 
+class GatewayFlow;
+
 class GatewayFront : public HttpHandler {
 public:
-  explicit GatewayFront(GatewayParts Parts) : Parts_(std::move(Parts)) {}
+  explicit GatewayFront(GatewayParts Parts);
+  ~GatewayFront() override;
 
   void handle(std::shared_ptr<HttpExchange> Exchange) override;
   HttpMessage reject(ResultCode Code) override;
@@ -58,8 +63,16 @@
   /// Refuses further requests as not run: the host is about to end.
   void refuseNew() { RefusesNew_ = true; }
 
+  /// Goes on with the waiting requests for which there is room.
+  void releaseWaiting();
+
 private:
+  friend class GatewayFlow;
+
   GatewayParts Parts_;
+  TimerSubscription Release_ = 0;
+  /// Flows of the requests that wait for room.
+  std::map<const GatewayRequest *, std::shared_ptr<GatewayFlow>> Waiting_;
   bool RefusesNew_ = false;
 };
 
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -39,14 +39,17 @@
 struct PickTerms {
   std::set<TargetId> Tried_;
   bool MayRepeat_ = false; ///< A failure could be made good by a resend.
+  /// Longest time that an answer may take; a target that is expected to need
+  /// longer is no choice.
+  Duration TimeLeft_ = Duration::max();
+  Duration Usual_{}; ///< Usual latency of requests of this kind.
 
   bool operator==(const PickTerms &) const = default;
 };
 
-/// A chosen target and the time after which an answer is expected.
+/// A chosen target.
 struct TargetPick {
   TargetEntry Target_;
-  Duration Expected_{};
   bool IsTrial_ = false; ///< The target is ejected and gets a trial request.
 
   bool operator==(const TargetPick &) const = default;
@@ -60,7 +63,8 @@
   /// Takes the service's current targets.
   void setTargets(const std::vector<TargetEntry> &Targets, TimePoint Now);
 
-  /// Chooses a target; none when no target is known besides tried ones.
+  /// Chooses a target that has room; none when there is none besides tried
+  /// ones.
   std::optional<TargetPick> pick(const PickTerms &Terms, TimePoint Now,
                                  RandomSource &Random);
 
@@ -81,6 +85,12 @@
 
   bool isEjected(const TargetId &Id, TimePoint Now) const;
 
+  /// True when a target besides tried ones is known, full or not.
+  bool hasTarget(const PickTerms &Terms) const;
+
+  /// Requests that the targets in use end in a second, at the usual latency.
+  double drainRate(TimePoint Now) const;
+
   std::size_t size() const { return States_.size(); }
   std::size_t ejectedCount(TimePoint Now) const;
 
@@ -102,6 +112,7 @@
     bool HasFailedLate_ = false;
     bool Ejected_ = false; ///< Stays set until a trial succeeds.
     bool OnTrial_ = false; ///< A trial request is in progress.
+    TimePoint HeardAt_;    ///< When it last gave a whole answer.
     TimePoint RefusingUntil_;
   };
 
@@ -113,6 +124,8 @@
   void takeEvidence(State &Each, AttemptEvidence Evidence, TimePoint StartedAt,
                     TimePoint Now);
   bool isSilent(const State &Each, TimePoint Now) const;
+  bool hasRoom(const State &Each, TimePoint Now) const;
+  bool areAllEjected() const;
   bool mayTry(const State &Each, const PickTerms &Terms, TimePoint Now) const;
   void eject(State &Each, TimePoint Now);
   void reinstate(State &Each);
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/gateway-core.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace kumquatpitch {
 
@@ -28,6 +29,9 @@
 /// times the usual.
 constexpr double ObjectiveFactor = 3;
 constexpr double LatencyWeight = 0.05;
+/// A request is refused when its usual time exceeds the time left by this
+/// factor: many requests are done sooner than usual.
+constexpr double HopelessFactor = 1.7;
 /// A failure that took at least this part of the usual latency, and this long,
 /// came after work: a gray failure mostly answers at once.
 constexpr double LateFailurePart = 0.25;
@@ -219,19 +223,112 @@
   return Order;
 }
 
-std::variant<GatewayRefusal, GatewayAttempt> GatewayCore::place(GatewayRequest &Request,
-                                                       TimePoint Now) {
-  Service &Of = serviceOf(Request.Service_);
-  if (Request.GiveUpAt_ - Now <= DeliveryTime)
+PickTerms GatewayCore::pickTerms(const GatewayRequest &Request,
+                                 TimePoint Now) const {
+  PickTerms Terms;
+  Terms.Tried_ = Request.Tried_;
+  Terms.MayRepeat_ = Request.Route_->Idempotent_ &&
+                     Request.Route_->MaxTargets_ > Request.Sent_ + 1;
+  Terms.TimeLeft_ = Request.GiveUpAt_ - Now;
+  Terms.Usual_ = usualLatency(*Request.Route_);
+  return Terms;
+}
+
+Placement GatewayCore::tryToPlace(GatewayRequest &Request, Service &Of,
+                                  TimePoint Now) {
+  const PickTerms Terms = pickTerms(Request, Now);
+  if (Terms.TimeLeft_ <= DeliveryTime)
     return giveUp(Request);
-  const PickTerms Terms{Request.Tried_,
-                        Request.Route_->Idempotent_ &&
-                            Request.Route_->MaxTargets_ > Request.Sent_ + 1};
   const std::optional<TargetPick> Pick = Of.Balancer_.pick(Terms, Now, Random_);
-  if (!Pick)
-    return Request.Tried_.empty() ? refuse(ResultCode::NoTarget, StateRetryAfter)
-                                  : giveUp(Request);
-  return start(Request, Of, *Pick, Request.Sent_ > 0, Now);
+  if (Pick)
+    return start(Request, Of, *Pick, Request.Sent_ > 0, Now);
+  if (!Of.Balancer_.hasTarget(Terms))
+    return Request.Tried_.empty()
+               ? refuse(ResultCode::NoTarget, StateRetryAfter)
+               : giveUp(Request);
+  if (static_cast<double>(Terms.Usual_.count()) >
+      static_cast<double>(Terms.TimeLeft_.count()) * HopelessFactor)
+    return giveUp(Request);
+  return WaitsForRoom{};
+}
+
+Placement GatewayCore::place(const std::shared_ptr<GatewayRequest> &Request,
+                             TimePoint Now) {
+  Service &Of = serviceOf(Request->Service_);
+  // Those that wait already go first, by the order of orderWaiting().
+  const Placement Placed = Of.Waiting_.empty()
+                               ? tryToPlace(*Request, Of, Now)
+                               : Placement(WaitsForRoom{});
+  if (std::holds_alternative<WaitsForRoom>(Placed)) {
+    Request->Waits_ = true;
+    Of.Waiting_.push_back(Request);
+  }
+  return Placed;
+}
+
+/// Sorts by what each request can still earn: those that can be answered within
+/// their objective first, the more urgent and then the earliest first.
+void GatewayCore::orderWaiting(Service &Of, TimePoint Now) const {
+  const auto Key = [&](const std::shared_ptr<GatewayRequest> &Each) {
+    const VirtualRoute &By = *Each->Route_;
+    const TimePoint Aim = Each->ArrivedAt_ + By.Objective_;
+    const bool IsLate = Now + usualLatency(By) > Aim;
+    return std::make_tuple(IsLate, By.Priority_, IsLate ? Each->GiveUpAt_ : Aim);
+  };
+  std::stable_sort(Of.Waiting_.begin(), Of.Waiting_.end(),
+                   [&](const std::shared_ptr<GatewayRequest> &Left,
+                       const std::shared_ptr<GatewayRequest> &Right) {
+                     return Key(Left) < Key(Right);
+                   });
+}
+
+void GatewayCore::releaseService(Service &Of, TimePoint Now, Released &Out) {
+  if (Of.Waiting_.empty())
+    return;
+  orderWaiting(Of, Now);
+  std::vector<std::shared_ptr<GatewayRequest>> Left;
+  bool IsFull = false;
+  for (const std::shared_ptr<GatewayRequest> &Each : Of.Waiting_) {
+    // Once one found no room, those behind it would take the room of trials
+    // only; they are checked for their time.
+    const Placement Placed =
+        IsFull ? Placement(WaitsForRoom{}) : tryToPlace(*Each, Of, Now);
+    if (!std::holds_alternative<WaitsForRoom>(Placed)) {
+      Each->Waits_ = false;
+      Out.emplace_back(Each, Placed);
+      continue;
+    }
+    IsFull = true;
+    const double Ahead = static_cast<double>(Left.size());
+    const double Wait = Ahead / std::max(1.0, Of.Balancer_.drainRate(Now));
+    const double Usual = std::chrono::duration<double>(
+                             usualLatency(*Each->Route_)).count();
+    const double TimeLeft =
+        std::chrono::duration<double>(Each->GiveUpAt_ - Now).count();
+    if (Wait + Usual / HopelessFactor > TimeLeft) {
+      Each->Waits_ = false;
+      Out.emplace_back(Each, giveUp(*Each));
+      continue;
+    }
+    Left.push_back(Each);
+  }
+  Of.Waiting_ = std::move(Left);
+}
+
+GatewayCore::Released GatewayCore::release(TimePoint Now) {
+  Released Out;
+  for (std::pair<const ServiceName, Service> &Each : Services_)
+    releaseService(Each.second, Now, Out);
+  return Out;
+}
+
+void GatewayCore::withdraw(const GatewayRequest &Request) {
+  if (!Request.Waits_)
+    return;
+  std::erase_if(serviceOf(Request.Service_).Waiting_,
+                [&](const std::shared_ptr<GatewayRequest> &Each) {
+                  return Each.get() == &Request;
+                });
 }
 
 std::optional<GatewayAttempt> GatewayCore::placeHedge(GatewayRequest &Request,
@@ -242,7 +339,7 @@
       Request.GiveUpAt_ - Now < LeastResendTime)
     return std::nullopt;
   const std::optional<TargetPick> Pick =
-      Of.Balancer_.pick(PickTerms{Request.Tried_, false}, Now, Random_);
+      Of.Balancer_.pick(pickTerms(Request, Now), Now, Random_);
   if (!Pick || Of.Balancer_.isEjected(Pick->Target_.Id_, Now) ||
       !Of.Budget_.take(resendTerms(Request.Service_), Now))
     return std::nullopt;
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -22,7 +22,7 @@
 /// callers have asked anew by then, and refused as not run for the rest.
 constexpr double ServePart = 0.5;
 /// The daemon ends this long before it would be killed.
-constexpr Duration StopMargin = std::chrono::milliseconds(200);
+constexpr Duration StopMargin = std::chrono::milliseconds(500);
 /// Parts of the fleet's resend slack that the hosts which callers are told to
 /// use divide, and that all hosts divide. The rest covers hosts whose views of
 /// the fleet differ.
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -18,6 +18,9 @@
 constexpr Duration MaxIdleOnce = std::chrono::milliseconds(2'500);
 constexpr Duration MaxIdleRepeatable = std::chrono::seconds(8);
 constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
+/// How often waiting requests are looked at besides when an attempt ends: what
+/// is known of other hosts' load fades meanwhile.
+constexpr Duration ReleasePeriod = std::chrono::milliseconds(40);
 /// Other hosts serve at once.
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(20);
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
@@ -72,12 +75,14 @@
   return Host.substr(0, Host.find(':'));
 }
 
+} // namespace
+
 /// One request and its attempts.
 class GatewayFlow : public std::enable_shared_from_this<GatewayFlow> {
 public:
-  GatewayFlow(const GatewayParts &Parts, std::shared_ptr<HttpExchange> Exchange)
-      : Parts_(Parts), Exchange_(std::move(Exchange)),
-        GiveUpTimer_(Parts.Context_), HedgeTimer_(Parts.Context_) {}
+  GatewayFlow(GatewayFront &Front, std::shared_ptr<HttpExchange> Exchange)
+      : Front_(Front), Parts_(Front.Parts_), Exchange_(std::move(Exchange)),
+        GiveUpTimer_(Parts_.Context_), HedgeTimer_(Parts_.Context_) {}
 
   void start() {
     const HttpMessage &Message = Exchange_->request();
@@ -99,6 +104,13 @@
     place();
   }
 
+  /// Goes on with what the core decided.
+  void placed(const Placement &Placed) {
+    if (const GatewayRefusal *Why = std::get_if<GatewayRefusal>(&Placed))
+      return refuse(*Why);
+    send(std::get<GatewayAttempt>(Placed));
+  }
+
 private:
   struct Attempt {
     GatewayAttempt Order_;
@@ -118,11 +130,12 @@
   }
 
   void place() {
-    const std::variant<GatewayRefusal, GatewayAttempt> Placed =
-        Parts_.Core_.place(*Request_, Parts_.Timers_.now());
-    if (const GatewayRefusal *Why = std::get_if<GatewayRefusal>(&Placed))
-      return refuse(*Why);
-    send(std::get<GatewayAttempt>(Placed));
+    const Placement Placed =
+        Parts_.Core_.place(Request_, Parts_.Timers_.now());
+    if (std::holds_alternative<WaitsForRoom>(Placed))
+      Front_.Waiting_.emplace(Request_.get(), shared_from_this());
+    else
+      placed(Placed);
   }
 
   void send(const GatewayAttempt &Order) {
@@ -219,14 +232,18 @@
     report(Order, Outcome, Result);
     switch (Next.Step_) {
     case GatewayStep::Deliver:
-      return deliver(Result.Answer_, Outcome);
+      deliver(Result.Answer_, Outcome);
+      break;
     case GatewayStep::Resend:
-      return place();
+      place();
+      break;
     case GatewayStep::Wait:
-      return;
+      break;
     case GatewayStep::Fail:
-      return refuse(Next.Refusal_);
+      refuse(Next.Refusal_);
+      break;
     }
+    Front_.releaseWaiting();
   }
 
   void report(const GatewayAttempt &Order, AttemptOutcome Outcome,
@@ -250,10 +267,16 @@
         Order.IsResend_)
       logAttempt(Order, attemptOutcomeName(Outcome),
                  Result.End_ == CallEnd::Answered
-                     ? "status " + std::to_string(Result.Answer_.Status_)
+                     ? "status " + std::to_string(Result.Answer_.Status_) +
+                           " load " + loadText(Result.Answer_)
                      : Result.Detail_);
   }
 
+  std::string loadText(const HttpMessage &Answer) const {
+    const std::string *Text = Answer.header(Parts_.Headers_.TargetLoad_);
+    return Text ? *Text : "unknown";
+  }
+
   void logAttempt(const GatewayAttempt &Order, const char *Outcome,
                   const std::string &Detail) {
     const TargetBalancer *Targets =
@@ -356,14 +379,18 @@
   }
 
   void finish() {
-    if (!IsDone_ && Request_)
+    if (!IsDone_ && Request_) {
       endAttempts(AttemptOutcome::Cancelled);
+      Parts_.Core_.withdraw(*Request_);
+      Front_.Waiting_.erase(Request_.get());
+    }
     IsDone_ = true;
     GiveUpTimer_.cancel();
     HedgeTimer_.cancel();
     Exchange_->onCallerGone(nullptr);
   }
 
+  GatewayFront &Front_;
   const GatewayParts &Parts_;
   const std::shared_ptr<HttpExchange> Exchange_;
   asio::steady_timer GiveUpTimer_;
@@ -375,7 +402,30 @@
   bool IsDone_ = false;
 };
 
-} // namespace
+GatewayFront::GatewayFront(GatewayParts Parts) : Parts_(std::move(Parts)) {
+  Release_ = Parts_.Timers_.subscribe(ReleasePeriod, [this](TimePoint) {
+    if (!Waiting_.empty())
+      releaseWaiting();
+  });
+}
+
+GatewayFront::~GatewayFront() { Parts_.Timers_.unsubscribe(Release_); }
+
+void GatewayFront::releaseWaiting() {
+  if (Waiting_.empty())
+    return;
+  for (const std::pair<std::shared_ptr<GatewayRequest>, Placement> &Each :
+       Parts_.Core_.release(Parts_.Timers_.now())) {
+    const std::map<const GatewayRequest *,
+                   std::shared_ptr<GatewayFlow>>::iterator It =
+        Waiting_.find(Each.first.get());
+    if (It == Waiting_.end())
+      continue;
+    const std::shared_ptr<GatewayFlow> Flow = It->second;
+    Waiting_.erase(It);
+    Flow->placed(Each.second);
+  }
+}
 
 void GatewayFront::handle(std::shared_ptr<HttpExchange> Exchange) {
   if (RefusesNew_) {
@@ -385,7 +435,7 @@
                                  httpStatus(ResultCode::HostLeaving),
                                  LeavingRetryAfter}));
   }
-  std::make_shared<GatewayFlow>(Parts_, std::move(Exchange))->start();
+  std::make_shared<GatewayFlow>(*this, std::move(Exchange))->start();
 }
 
 HttpMessage GatewayFront::reject(ResultCode Code) {
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -44,8 +44,14 @@
 constexpr Duration RepeatableMemory = std::chrono::seconds(6);
 /// Two late failures within this time eject a target as one early failure does.
 constexpr Duration LateFailureMemory = std::chrono::seconds(3);
+/// Requests that a target may have waiting beyond its slots. What waits at the
+/// hosts can still go elsewhere, and in a better order.
+constexpr double AllowedWaiting = 1;
 /// A request that takes this many times the mean makes its target suspect.
 constexpr double SilentFactor = 4;
+/// A request is hopeless at a target whose usual time exceeds the time left by
+/// this factor: many requests are done sooner than usual.
+constexpr double HopelessFactor = 1.7;
 constexpr Duration LeastSilence = std::chrono::milliseconds(600);
 
 double seconds(Duration Span) {
@@ -102,7 +108,37 @@
     return false;
   const Duration Limit = std::max(
       LeastSilence, Duration(static_cast<Duration::rep>(Mean_ * SilentFactor)));
-  return Now - *Each.Running_.begin() > Limit;
+  return Now - std::max(*Each.Running_.begin(), Each.HeardAt_) > Limit;
+}
+
+bool TargetBalancer::hasRoom(const State &Each, TimePoint Now) const {
+  return load(Each, Now) < Each.Entry_.Slots_ + AllowedWaiting &&
+         Now >= Each.RefusingUntil_;
+}
+
+bool TargetBalancer::areAllEjected() const {
+  return std::all_of(States_.begin(), States_.end(),
+                     [](const std::pair<const TargetId, State> &Each) {
+                       return Each.second.Ejected_ ||
+                              Each.second.Entry_.Leaving_;
+                     });
+}
+
+bool TargetBalancer::hasTarget(const PickTerms &Terms) const {
+  return std::any_of(States_.begin(), States_.end(),
+                     [&](const std::pair<const TargetId, State> &Each) {
+                       return !Each.second.Entry_.Leaving_ &&
+                              !Terms.Tried_.count(Each.first);
+                     });
+}
+
+double TargetBalancer::drainRate(TimePoint Now) const {
+  double Slots = 0;
+  for (const std::pair<const TargetId, State> &Each : States_)
+    if (!Each.second.Entry_.Leaving_ && !Each.second.Ejected_)
+      Slots += Each.second.Entry_.Slots_ / slowness(Each.second, Now);
+  constexpr double MicrosecondsPerSecond = 1e6;
+  return Slots * MicrosecondsPerSecond / Mean_;
 }
 
 bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
@@ -142,22 +178,28 @@
   State *Trial = nullptr;
   double BestCost = 0;
   constexpr double RandomPart = 0.02;
+  const bool AllEjected = areAllEjected();
   for (std::pair<const TargetId, State> &Each : States_) {
     State &Seen = Each.second;
     if (Seen.Entry_.Leaving_ || Terms.Tried_.count(Each.first))
       continue;
-    const bool IsOwnDomain = Seen.Entry_.Domain_ == OwnDomain_;
     if (mayTry(Seen, Terms, Now) &&
         (!Trial || Seen.FailedAt_ < Trial->FailedAt_))
       Trial = &Seen;
+    if (!hasRoom(Seen, Now) || (Seen.Ejected_ && !AllEjected))
+      continue;
+    const double Slowness = slowness(Seen, Now);
+    if (static_cast<double>(Terms.Usual_.count()) * Slowness >
+        static_cast<double>(Terms.TimeLeft_.count()) * HopelessFactor)
+      continue;
     double Cost = expected(Seen, Now);
-    if (!IsOwnDomain)
+    if (Seen.Entry_.Domain_ != OwnDomain_)
       Cost += ForeignDomainPart;
     // Suspects remain candidates of last resort, the least bad first.
     constexpr double SuspectPenalty = 1e9;
     if (Seen.Ejected_)
       Cost += SuspectPenalty * (2 + Seen.Failures_);
-    else if (Now < Seen.RefusingUntil_ || isSilent(Seen, Now))
+    else if (isSilent(Seen, Now))
       Cost += SuspectPenalty;
     Cost *= 1 + RandomPart * static_cast<double>(Random.below(1'000)) / 1'000;
     if (!Best || Cost < BestCost) {
@@ -172,10 +214,7 @@
   }
   if (!Best)
     return std::nullopt;
-  return TargetPick{
-      Best->Entry_,
-      Duration(static_cast<Duration::rep>(expected(*Best, Now) * Mean_)),
-      IsTrial};
+  return TargetPick{Best->Entry_, IsTrial};
 }
 
 void TargetBalancer::attemptStarted(const TargetId &Id, TimePoint Now) {
@@ -196,6 +235,10 @@
   if (Own != Seen.Running_.end())
     Seen.Running_.erase(Own);
   Seen.OnTrial_ = false;
+  if (Evidence == AttemptEvidence::Answered ||
+      Evidence == AttemptEvidence::FailedLate ||
+      Evidence == AttemptEvidence::Refused)
+    Seen.HeardAt_ = Now;
   if (Load) {
     const double Total = Load->Running_ + Load->Waiting_;
     Seen.Foreign_ =
@@ -225,9 +268,17 @@
     break;
   case AttemptEvidence::Failed:
   case AttemptEvidence::Unreachable:
-  case AttemptEvidence::Silent:
     eject(Each, Now);
     break;
+  case AttemptEvidence::Silent:
+    // A target that answers others is slow or full, which is no failure; so is
+    // one that was not given the time.
+    if (Each.HeardAt_ <= StartedAt &&
+        Now - StartedAt >=
+            std::max(LeastSilence,
+                     Duration(static_cast<Duration::rep>(Mean_ * 2))))
+      eject(Each, Now);
+    break;
   case AttemptEvidence::FailedLate:
     if (Each.HasFailedLate_ && Now - Each.FailedLateAt_ < LateFailureMemory)
       eject(Each, Now);
