--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -193,7 +193,9 @@
   GatewayAttempt start(GatewayRequest &Request, Service &Of,
                      const TargetPick &Pick, bool IsResend, TimePoint Now);
   Placement tryToPlace(GatewayRequest &Request, Service &Of, TimePoint Now);
-  PickTerms pickTerms(const GatewayRequest &Request, TimePoint Now) const;
+  Placement lastPlacement(GatewayRequest &Request, Service &Of, TimePoint Now);
+  PickTerms pickTerms(const GatewayRequest &Request, Service &Of,
+                      TimePoint Now) const;
   void releaseService(Service &Of, TimePoint Now, Released &Out);
   void orderWaiting(Service &Of, TimePoint Now) const;
   GatewayDecision afterFailure(GatewayRequest &Request, AttemptOutcome Result,
--- a/include/kumquatpitch/resend-budget.h
+++ b/include/kumquatpitch/resend-budget.h
@@ -30,6 +30,11 @@
   /// Takes one resend from the budget; false when it is used up.
   bool take(const ResendTerms &Terms, TimePoint Now);
 
+  /// Resends that the budget still allows now.
+  double left(const ResendTerms &Terms, TimePoint Now) {
+    return allowance(Terms, Now);
+  }
+
 private:
   /// Parts of a window that are counted apart. The oldest part is counted
   /// whole, so a window is at most one part longer than stated.
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -43,6 +43,7 @@
   /// longer is no choice.
   Duration TimeLeft_ = Duration::max();
   Duration Usual_{}; ///< Usual latency of requests of this kind.
+  bool IsLastResort_ = false; ///< Better an ejected target than none.
 
   bool operator==(const PickTerms &) const = default;
 };
@@ -106,11 +107,12 @@
     TimePoint ForeignAt_; ///< When it was reported.
     double Slowness_ = 1; ///< Decayed mean of latencies by the usual ones.
     TimePoint SlownessAt_;
-    std::uint32_t Failures_ = 0; ///< In a row.
+    std::uint32_t Failures_ = 0;  ///< Since it was last in use.
+    std::uint32_t Successes_ = 0; ///< Of trials, since the last failure.
     TimePoint FailedAt_;
     TimePoint FailedLateAt_;
     bool HasFailedLate_ = false;
-    bool Ejected_ = false; ///< Stays set until a trial succeeds.
+    bool Ejected_ = false; ///< Stays set until trials succeed.
     bool OnTrial_ = false; ///< A trial request is in progress.
     TimePoint HeardAt_;    ///< When it last gave a whole answer.
     TimePoint RefusingUntil_;
@@ -126,9 +128,10 @@
   bool isSilent(const State &Each, TimePoint Now) const;
   bool hasRoom(const State &Each, TimePoint Now) const;
   bool areAllEjected() const;
+  std::optional<TargetPick> lastResort(const PickTerms &Terms);
   bool mayTry(const State &Each, const PickTerms &Terms, TimePoint Now) const;
   void eject(State &Each, TimePoint Now);
-  void reinstate(State &Each);
+  void succeed(State &Each);
 
   FailureDomain OwnDomain_;
   double FloorShare_;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -29,6 +29,10 @@
 /// times the usual.
 constexpr double ObjectiveFactor = 3;
 constexpr double LatencyWeight = 0.05;
+/// Resends that are kept for requests that fail unexpectedly: trials and hedges
+/// are made only while more are left.
+constexpr double TrialReserve = 2;
+constexpr double HedgeReserve = 3;
 /// A request is refused when its usual time exceeds the time left by this
 /// factor: many requests are done sooner than usual.
 constexpr double HopelessFactor = 1.7;
@@ -223,12 +227,14 @@
   return Order;
 }
 
-PickTerms GatewayCore::pickTerms(const GatewayRequest &Request,
+PickTerms GatewayCore::pickTerms(const GatewayRequest &Request, Service &Of,
                                  TimePoint Now) const {
   PickTerms Terms;
   Terms.Tried_ = Request.Tried_;
-  Terms.MayRepeat_ = Request.Route_->Idempotent_ &&
-                     Request.Route_->MaxTargets_ > Request.Sent_ + 1;
+  Terms.MayRepeat_ =
+      Request.Route_->Idempotent_ &&
+      Request.Route_->MaxTargets_ > Request.Sent_ + 1 &&
+      Of.Budget_.left(resendTerms(Request.Service_), Now) >= TrialReserve;
   Terms.TimeLeft_ = Request.GiveUpAt_ - Now;
   Terms.Usual_ = usualLatency(*Request.Route_);
   return Terms;
@@ -236,7 +242,7 @@
 
 Placement GatewayCore::tryToPlace(GatewayRequest &Request, Service &Of,
                                   TimePoint Now) {
-  const PickTerms Terms = pickTerms(Request, Now);
+  const PickTerms Terms = pickTerms(Request, Of, Now);
   if (Terms.TimeLeft_ <= DeliveryTime)
     return giveUp(Request);
   const std::optional<TargetPick> Pick = Of.Balancer_.pick(Terms, Now, Random_);
@@ -282,6 +288,20 @@
                    });
 }
 
+/// A request that may run again is better sent to an ejected target than
+/// refused; of another, the caller rather hears that it has not run.
+Placement GatewayCore::lastPlacement(GatewayRequest &Request, Service &Of,
+                                     TimePoint Now) {
+  if (!Request.Route_->Idempotent_ || Request.Sent_ > 0)
+    return giveUp(Request);
+  PickTerms Terms = pickTerms(Request, Of, Now);
+  Terms.IsLastResort_ = true;
+  const std::optional<TargetPick> Pick = Of.Balancer_.pick(Terms, Now, Random_);
+  if (!Pick)
+    return giveUp(Request);
+  return start(Request, Of, *Pick, false, Now);
+}
+
 void GatewayCore::releaseService(Service &Of, TimePoint Now, Released &Out) {
   if (Of.Waiting_.empty())
     return;
@@ -307,7 +327,7 @@
         std::chrono::duration<double>(Each->GiveUpAt_ - Now).count();
     if (Wait + Usual / HopelessFactor > TimeLeft) {
       Each->Waits_ = false;
-      Out.emplace_back(Each, giveUp(*Each));
+      Out.emplace_back(Each, lastPlacement(*Each, Of, Now));
       continue;
     }
     Left.push_back(Each);
@@ -336,10 +356,11 @@
   Service &Of = serviceOf(Request.Service_);
   if (Request.IsHedged_ || !Request.Route_->Idempotent_ ||
       Request.Sent_ + Request.InProgress_ >= Request.Route_->MaxTargets_ ||
-      Request.GiveUpAt_ - Now < LeastResendTime)
+      Request.GiveUpAt_ - Now < LeastResendTime ||
+      Of.Budget_.left(resendTerms(Request.Service_), Now) < HedgeReserve)
     return std::nullopt;
   const std::optional<TargetPick> Pick =
-      Of.Balancer_.pick(pickTerms(Request, Now), Now, Random_);
+      Of.Balancer_.pick(pickTerms(Request, Of, Now), Now, Random_);
   if (!Pick || Of.Balancer_.isEjected(Pick->Target_.Id_, Now) ||
       !Of.Budget_.take(resendTerms(Request.Service_), Now))
     return std::nullopt;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -285,6 +285,7 @@
     Parts_.Log_.write(
         LogLevel::Info, "attempt", Outcome,
         {{"id", Id_},
+         {"route", Request_->Route_->Prefix_},
          {"service", Request_->Service_.str()},
          {"target", Order.Target_.Id_.str()},
          {"ms", std::to_string(toMilliseconds(Now - Order.StartedAt_))},
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -33,6 +33,11 @@
 /// With too many targets ejected while requests fail, each target gets a
 /// request within this time.
 constexpr Duration FloorTrialPause = std::chrono::milliseconds(1'400);
+/// Pauses between trials of a target while all of the service are ejected.
+constexpr Duration DesperatePause = std::chrono::milliseconds(300);
+constexpr Duration CostlyDesperatePause = std::chrono::milliseconds(1'000);
+/// Trials in a row that must succeed: a gray target succeeds now and then.
+constexpr std::uint32_t TrialsToReinstate = 2;
 /// Share of failed requests from which the floor is kept at all cost: below it
 /// the ejections do what they are meant to.
 constexpr double FloorUnservedShare = 0.08;
@@ -150,6 +155,10 @@
 
 Duration TargetBalancer::trialPause(const State &Each, bool MayRepeat,
                                     TimePoint Now) const {
+  if (Each.Successes_ > 0)
+    return Duration::zero();
+  if (areAllEjected())
+    return MayRepeat ? DesperatePause : CostlyDesperatePause;
   if (isFloorAtRisk(Now))
     return FloorTrialPause;
   if (!MayRepeat)
@@ -165,7 +174,7 @@
   if (!Each.Ejected_ || Each.OnTrial_ ||
       Now - Each.FailedAt_ < trialPause(Each, Terms.MayRepeat_, Now))
     return false;
-  return Terms.MayRepeat_ || isFloorAtRisk(Now) ||
+  return Terms.MayRepeat_ || isFloorAtRisk(Now) || areAllEjected() ||
          Now - RepeatableAt_ > RepeatableMemory;
 }
 
@@ -178,7 +187,6 @@
   State *Trial = nullptr;
   double BestCost = 0;
   constexpr double RandomPart = 0.02;
-  const bool AllEjected = areAllEjected();
   for (std::pair<const TargetId, State> &Each : States_) {
     State &Seen = Each.second;
     if (Seen.Entry_.Leaving_ || Terms.Tried_.count(Each.first))
@@ -186,7 +194,7 @@
     if (mayTry(Seen, Terms, Now) &&
         (!Trial || Seen.FailedAt_ < Trial->FailedAt_))
       Trial = &Seen;
-    if (!hasRoom(Seen, Now) || (Seen.Ejected_ && !AllEjected))
+    if (!hasRoom(Seen, Now) || Seen.Ejected_)
       continue;
     const double Slowness = slowness(Seen, Now);
     if (static_cast<double>(Terms.Usual_.count()) * Slowness >
@@ -195,12 +203,9 @@
     double Cost = expected(Seen, Now);
     if (Seen.Entry_.Domain_ != OwnDomain_)
       Cost += ForeignDomainPart;
-    // Suspects remain candidates of last resort, the least bad first.
-    constexpr double SuspectPenalty = 1e9;
-    if (Seen.Ejected_)
-      Cost += SuspectPenalty * (2 + Seen.Failures_);
-    else if (isSilent(Seen, Now))
-      Cost += SuspectPenalty;
+    constexpr double SilentPenalty = 1e9;
+    if (isSilent(Seen, Now))
+      Cost += SilentPenalty;
     Cost *= 1 + RandomPart * static_cast<double>(Random.below(1'000)) / 1'000;
     if (!Best || Cost < BestCost) {
       Best = &Seen;
@@ -213,10 +218,21 @@
     Best->OnTrial_ = true;
   }
   if (!Best)
-    return std::nullopt;
+    return Terms.IsLastResort_ ? lastResort(Terms) : std::nullopt;
   return TargetPick{Best->Entry_, IsTrial};
 }
 
+std::optional<TargetPick> TargetBalancer::lastResort(const PickTerms &Terms) {
+  const State *Best = nullptr;
+  for (const std::pair<const TargetId, State> &Each : States_)
+    if (!Each.second.Entry_.Leaving_ && !Terms.Tried_.count(Each.first) &&
+        (!Best || Each.second.FailedAt_ < Best->FailedAt_))
+      Best = &Each.second;
+  if (!Best)
+    return std::nullopt;
+  return TargetPick{Best->Entry_, false};
+}
+
 void TargetBalancer::attemptStarted(const TargetId &Id, TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
   if (It != States_.end())
@@ -264,7 +280,7 @@
   case AttemptEvidence::Answered:
     // An answer to a request from before the failure proves nothing since.
     if (!Each.Ejected_ || StartedAt > Each.FailedAt_)
-      reinstate(Each);
+      succeed(Each);
     break;
   case AttemptEvidence::Failed:
   case AttemptEvidence::Unreachable:
@@ -308,7 +324,7 @@
   if (Failed)
     eject(It->second, Now);
   else
-    reinstate(It->second);
+    succeed(It->second);
 }
 
 void TargetBalancer::eject(State &Each, TimePoint Now) {
@@ -318,11 +334,15 @@
     ++Each.Failures_;
   Each.FailedAt_ = Now;
   Each.Ejected_ = true;
+  Each.Successes_ = 0;
 }
 
-void TargetBalancer::reinstate(State &Each) {
+void TargetBalancer::succeed(State &Each) {
+  if (Each.Ejected_ && ++Each.Successes_ < TrialsToReinstate)
+    return;
   Each.Ejected_ = false;
   Each.Failures_ = 0;
+  Each.Successes_ = 0;
 }
 
 bool TargetBalancer::isEjected(const TargetId &Id, TimePoint Now) const {
