--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -110,6 +110,7 @@
 struct GatewayDecision {
   GatewayStep Step_ = GatewayStep::Fail;
   GatewayRefusal Refusal_; ///< With Fail.
+  std::optional<TargetNews> News_; ///< For the other hosts.
 
   bool operator==(const GatewayDecision &) const = default;
 };
@@ -163,8 +164,8 @@
   GatewayRefusal giveUp(const GatewayRequest &Request) const;
 
   /// Another host saw a target fail or recover.
-  void peerEvidence(const ServiceName &Name, const TargetId &Id, bool Failed,
-                    TimePoint Now);
+  void peerEvidence(const ServiceName &Name, const TargetId &Id,
+                    TargetNews News, TimePoint Now);
 
   /// The balancer of a service; null for unknown ones.
   const TargetBalancer *balancer(const ServiceName &Service) const;
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -28,7 +28,7 @@
   /// at.
   Result<void> run();
 
-  void evidence(const TargetEntry &Target, bool Failed) override;
+  void evidence(const TargetEntry &Target, TargetNews News) override;
 
 private:
   class DirectoryHandler;
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -35,7 +35,7 @@
 class EvidenceSink {
 public:
   virtual ~EvidenceSink() = default;
-  virtual void evidence(const TargetEntry &Target, bool Failed) = 0;
+  virtual void evidence(const TargetEntry &Target, TargetNews News) = 0;
 };
 
 /// What a flow needs; all outlive the front.
--- a/include/kumquatpitch/peer-datagram.h
+++ b/include/kumquatpitch/peer-datagram.h
@@ -7,6 +7,7 @@
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/result.h"
 #include "kumquatpitch/store-follower.h"
+#include "kumquatpitch/target-balancer.h"
 
 #include <string>
 #include <variant>
@@ -19,7 +20,7 @@
   ServiceName Service_;
   TargetId Target_;
   std::uint64_t StartedUnixMs_ = 0; ///< Incarnation of the target.
-  bool Failed_ = false;
+  TargetNews News_ = TargetNews::Failed;
   bool PassOn_ = false; ///< To the other hosts of the receiver's domain.
 
   bool operator==(const EvidenceMessage &) const = default;
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace kumquatpitch {
@@ -28,14 +29,21 @@
 enum class AttemptEvidence : std::uint8_t {
   Answered,    ///< It ran the request and answered with success.
   Failed,      ///< It failed at once, broke off or sent garbage.
-  FailedLate,  ///< It failed after working as long as usual, as requests of
-               ///< healthy targets do now and then.
+  FailedLate,  ///< It failed after working for long, or on a request that takes
+               ///< no time, as healthy targets do now and then.
   Unreachable, ///< No connection could be made.
   Refused,     ///< It refused the request without running it.
   Silent,      ///< No answer when the attempt was given up.
   None,        ///< The caller left or the answer says nothing.
 };
 
+/// What hosts tell each other about a target.
+enum class TargetNews : std::uint8_t {
+  Recovered = 0, ///< A trial succeeded.
+  Doubtful = 1,  ///< A failure as healthy targets have now and then.
+  Failed = 2,    ///< A failure that healthy targets do not have.
+};
+
 struct PickTerms {
   std::set<TargetId> Tried_;
   bool MayRepeat_ = false; ///< A failure could be made good by a resend.
@@ -81,8 +89,8 @@
   /// A request ended, served or not.
   void requestEnded(bool Served, TimePoint Now);
 
-  /// A peer saw a target fail (or answer a trial).
-  void peerEvidence(const TargetId &Id, bool Failed, TimePoint Now);
+  /// Another host reports what it saw of a target.
+  void peerEvidence(const TargetId &Id, TargetNews News, TimePoint Now);
 
   bool isEjected(const TargetId &Id, TimePoint Now) const;
 
@@ -92,6 +100,10 @@
   /// Requests that the targets in use end in a second, at the usual latency.
   double drainRate(TimePoint Now) const;
 
+  /// One word for each target, for logs: its own requests in progress, those of
+  /// other hosts, and `e` when ejected, `p` on probation, `l` when leaving.
+  std::string describe(TimePoint Now) const;
+
   std::size_t size() const { return States_.size(); }
   std::size_t ejectedCount(TimePoint Now) const;
 
@@ -108,11 +120,11 @@
     double Slowness_ = 1; ///< Decayed mean of latencies by the usual ones.
     TimePoint SlownessAt_;
     std::uint32_t Failures_ = 0;  ///< Since it was last in use.
-    std::uint32_t Successes_ = 0; ///< Of trials, since the last failure.
+    std::uint32_t Successes_ = 0; ///< Since the last failure.
     TimePoint FailedAt_;
     TimePoint FailedLateAt_;
     bool HasFailedLate_ = false;
-    bool Ejected_ = false; ///< Stays set until trials succeed.
+    bool Ejected_ = false; ///< Stays set until a trial succeeds.
     bool OnTrial_ = false; ///< A trial request is in progress.
     TimePoint HeardAt_;    ///< When it last gave a whole answer.
     TimePoint RefusingUntil_;
@@ -130,6 +142,7 @@
   bool areAllEjected() const;
   std::optional<TargetPick> lastResort(const PickTerms &Terms);
   bool mayTry(const State &Each, const PickTerms &Terms, TimePoint Now) const;
+  void doubt(State &Each, TimePoint Now);
   void eject(State &Each, TimePoint Now);
   void succeed(State &Each);
 
--- a/src/caller-hosts.cc
+++ b/src/caller-hosts.cc
@@ -20,7 +20,7 @@
                          std::string_view VirtualHost,
                          const FailureDomain &Domain, const Region &OfRegion) {
   const std::uint64_t Seed =
-      XXH3_64bits(VirtualHost.data(), VirtualHost.size());
+      XXH3_64bits(VirtualHost.data(), 0);
   std::vector<Ranked> Order;
   for (const Member &Each : Members) {
     if (Each.State_ != MemberState::Serving)
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -36,10 +36,11 @@
 /// A request is refused when its usual time exceeds the time left by this
 /// factor: many requests are done sooner than usual.
 constexpr double HopelessFactor = 1.7;
-/// A failure that took at least this part of the usual latency, and this long,
-/// came after work: a gray failure mostly answers at once.
+/// A failure within this part of the usual latency came before any work, as gray
+/// failures mostly do. Where that part is shorter than this, nothing can be told
+/// from the time.
 constexpr double LateFailurePart = 0.25;
-constexpr Duration LeastLateFailure = std::chrono::milliseconds(30);
+constexpr Duration LeastLateFailure = std::chrono::milliseconds(20);
 
 std::string keyOf(const VirtualRoute &Of) { return Of.Host_ + " " + Of.Prefix_; }
 
@@ -181,13 +182,12 @@
   case AttemptOutcome::Success:
     return AttemptEvidence::Answered;
   case AttemptOutcome::Failure: {
-    const Duration Late = std::max(
-        LeastLateFailure,
-        Duration(static_cast<Duration::rep>(
-            LateFailurePart *
-            static_cast<double>(usualLatency(*Request.Route_).count()))));
-    return Now - Order.StartedAt_ < Late ? AttemptEvidence::Failed
-                                         : AttemptEvidence::FailedLate;
+    const Duration Early(static_cast<Duration::rep>(
+        LateFailurePart *
+        static_cast<double>(usualLatency(*Request.Route_).count())));
+    return Early >= LeastLateFailure && Now - Order.StartedAt_ < Early
+               ? AttemptEvidence::Failed
+               : AttemptEvidence::FailedLate;
   }
   case AttemptOutcome::Broken:
     return AttemptEvidence::Failed;
@@ -374,10 +374,10 @@
                                    std::optional<ReportedLoad> Load,
                                    TimePoint Now) {
   --Request.InProgress_;
-  serviceOf(Request.Service_)
-      .Balancer_.attemptEnded(Order.Target_.Id_, Order.StartedAt_,
-                              evidenceOf(Request, Order, Result, Now),
-                              usualLatency(*Request.Route_), Load, Now);
+  const AttemptEvidence Evidence = evidenceOf(Request, Order, Result, Now);
+  TargetBalancer &Balancer = serviceOf(Request.Service_).Balancer_;
+  Balancer.attemptEnded(Order.Target_.Id_, Order.StartedAt_, Evidence,
+                        usualLatency(*Request.Route_), Load, Now);
   if (Result == AttemptOutcome::Success)
     noteLatency(*Request.Route_, Now - Order.StartedAt_);
   if (Result == AttemptOutcome::NotConnected)
@@ -387,31 +387,43 @@
   if (Result == AttemptOutcome::Success || Result == AttemptOutcome::Failure ||
       Result == AttemptOutcome::Broken || Result == AttemptOutcome::TimedOut)
     Request.MayHaveRun_ = true;
-  if (Result == AttemptOutcome::Success)
-    return GatewayDecision{GatewayStep::Deliver, {}};
-  return afterFailure(Request, Result, Now);
+  GatewayDecision Next =
+      Result == AttemptOutcome::Success
+          ? GatewayDecision{GatewayStep::Deliver, {}, std::nullopt}
+          : afterFailure(Request, Result, Now);
+  if (Evidence == AttemptEvidence::FailedLate)
+    Next.News_ = TargetNews::Doubtful;
+  else if (Evidence == AttemptEvidence::Answered && Order.IsTrial_)
+    Next.News_ = TargetNews::Recovered;
+  else if (Evidence != AttemptEvidence::Answered &&
+           Evidence != AttemptEvidence::Refused &&
+           Evidence != AttemptEvidence::None &&
+           Balancer.isEjected(Order.Target_.Id_, Now))
+    Next.News_ = TargetNews::Failed;
+  return Next;
 }
 
 GatewayDecision GatewayCore::afterFailure(GatewayRequest &Request,
                                    AttemptOutcome Result, TimePoint Now) {
   if (Request.InProgress_ > 0)
-    return GatewayDecision{GatewayStep::Wait, {}};
+    return GatewayDecision{GatewayStep::Wait, {}, std::nullopt};
   const bool HasTime = Request.GiveUpAt_ - Now >= LeastResendTime;
   const bool MayRepeat = Request.Route_->Idempotent_ || !Request.MayHaveRun_;
   if (HasTime && MayRepeat && Result != AttemptOutcome::TimedOut) {
     if (Result == AttemptOutcome::NotConnected &&
         Request.Connecting_ <= MaxUnconnected)
-      return GatewayDecision{GatewayStep::Resend, {}};
+      return GatewayDecision{GatewayStep::Resend, {}, std::nullopt};
     if (Request.Sent_ < Request.Route_->MaxTargets_ &&
         serviceOf(Request.Service_).Budget_.take(resendTerms(Request.Service_), Now))
-      return GatewayDecision{GatewayStep::Resend, {}};
+      return GatewayDecision{GatewayStep::Resend, {}, std::nullopt};
   }
   if (Result == AttemptOutcome::Failure)
-    return GatewayDecision{GatewayStep::Deliver, {}};
+    return GatewayDecision{GatewayStep::Deliver, {}, std::nullopt};
   if (Result == AttemptOutcome::Broken)
     return GatewayDecision{GatewayStep::Fail,
-                    refuse(ResultCode::BackendBroken, std::nullopt)};
-  return GatewayDecision{GatewayStep::Fail, giveUp(Request)};
+                    refuse(ResultCode::BackendBroken, std::nullopt),
+                           std::nullopt};
+  return GatewayDecision{GatewayStep::Fail, giveUp(Request), std::nullopt};
 }
 
 GatewayRefusal GatewayCore::giveUp(const GatewayRequest &Request) const {
@@ -430,10 +442,10 @@
 }
 
 void GatewayCore::peerEvidence(const ServiceName &Name, const TargetId &Id,
-                               bool Failed, TimePoint Now) {
+                               TargetNews News, TimePoint Now) {
   const std::map<ServiceName, Service>::iterator It = Services_.find(Name);
   if (It != Services_.end())
-    It->second.Balancer_.peerEvidence(Id, Failed, Now);
+    It->second.Balancer_.peerEvidence(Id, News, Now);
 }
 
 const TargetBalancer *GatewayCore::balancer(const ServiceName &Name) const {
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -26,8 +26,8 @@
 /// Parts of the fleet's resend slack that the hosts which callers are told to
 /// use divide, and that all hosts divide. The rest covers hosts whose views of
 /// the fleet differ.
-constexpr double CallerHostsSlack = 0.55;
-constexpr double OtherHostsSlack = 0.25;
+constexpr double CallerHostsSlack = 0.75;
+constexpr double OtherHostsSlack = 0.1;
 /// Repeated failures of a target are told once in this time.
 constexpr Duration EvidencePause = std::chrono::milliseconds(300);
 /// Wait of a watch for changes; some change is published almost always.
@@ -244,7 +244,7 @@
     const std::map<TargetId, TargetEntry>::const_iterator It =
         Known.find(Seen->Target_);
     if (It != Known.end() && It->second.StartedUnixMs_ == Seen->StartedUnixMs_)
-      Core_.peerEvidence(Seen->Service_, Seen->Target_, Seen->Failed_, Now);
+      Core_.peerEvidence(Seen->Service_, Seen->Target_, Seen->News_, Now);
     if (Seen->PassOn_)
       tellOwnDomain(*Seen);
   }
@@ -356,14 +356,15 @@
         send(Each.Address_, Part);
 }
 
-void GatewayDaemon::evidence(const TargetEntry &Target, bool Failed) {
+void GatewayDaemon::evidence(const TargetEntry &Target, TargetNews News) {
   const TimePoint Now = Timers_.now();
   TimePoint &Told = Told_[Target.Id_];
-  if (Failed && Now - Told < EvidencePause)
+  if (News == TargetNews::Failed && Now - Told < EvidencePause)
     return;
-  Told = Now;
+  if (News == TargetNews::Failed)
+    Told = Now;
   const EvidenceMessage Message{Target.Service_, Target.Id_,
-                                Target.StartedUnixMs_, Failed, true};
+                                Target.StartedUnixMs_, News, true};
   // One host of each other failure domain passes it on: bytes between domains
   // cost.
   std::map<FailureDomain, std::vector<const Member *>> Others;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -132,10 +132,17 @@
   void place() {
     const Placement Placed =
         Parts_.Core_.place(Request_, Parts_.Timers_.now());
-    if (std::holds_alternative<WaitsForRoom>(Placed))
-      Front_.Waiting_.emplace(Request_.get(), shared_from_this());
-    else
-      placed(Placed);
+    if (!std::holds_alternative<WaitsForRoom>(Placed))
+      return placed(Placed);
+    Front_.Waiting_.emplace(Request_.get(), shared_from_this());
+    const TargetBalancer *Targets = Parts_.Core_.balancer(Request_->Service_);
+    Parts_.Log_.write(
+        LogLevel::Info, "request", "waits",
+        {{"id", Id_},
+         {"service", Request_->Service_.str()},
+         {"waiting", std::to_string(Front_.Waiting_.size())},
+         {"targets",
+          Targets ? Targets->describe(Parts_.Timers_.now()) : "none"}});
   }
 
   void send(const GatewayAttempt &Order) {
@@ -229,6 +236,8 @@
     const GatewayDecision Next = Parts_.Core_.attemptEnded(
         *Request_, Order, Outcome,
         parseLoad(Result.Answer_.header(Parts_.Headers_.TargetLoad_)), Now);
+    if (Next.News_)
+      Parts_.Evidence_.evidence(Order.Target_, *Next.News_);
     report(Order, Outcome, Result);
     switch (Next.Step_) {
     case GatewayStep::Deliver:
@@ -256,13 +265,6 @@
                         Outcome == AttemptOutcome::NotConnected;
     if (Failed)
       Parts_.Client_.closeIdle(Order.Target_.Address_);
-    const TargetBalancer *Targets = Parts_.Core_.balancer(Request_->Service_);
-    const bool IsEjected =
-        Targets &&
-        Targets->isEjected(Order.Target_.Id_, Parts_.Timers_.now());
-    if (Failed ? IsEjected
-               : Order.IsTrial_ && Outcome == AttemptOutcome::Success)
-      Parts_.Evidence_.evidence(Order.Target_, Failed);
     if (Outcome != AttemptOutcome::Success || Order.IsTrial_ ||
         Order.IsResend_)
       logAttempt(Order, attemptOutcomeName(Outcome),
@@ -372,10 +374,10 @@
         continue;
       Each.Call_->cancel();
       Each.Call_ = nullptr;
-      Parts_.Core_.attemptEnded(*Request_, Each.Order_, Outcome, std::nullopt,
-                                Now);
-      if (Outcome == AttemptOutcome::TimedOut)
-        Parts_.Evidence_.evidence(Each.Order_.Target_, true);
+      const GatewayDecision Ended = Parts_.Core_.attemptEnded(
+          *Request_, Each.Order_, Outcome, std::nullopt, Now);
+      if (Ended.News_)
+        Parts_.Evidence_.evidence(Each.Order_.Target_, *Ended.News_);
     }
   }
 
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/peer-datagram.h"
 
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace kumquatpitch {
 
@@ -88,7 +89,7 @@
 Json bodyOf(const EvidenceMessage &Message) {
   return Json::array({FormatVersion, static_cast<int>(MessageKind::Evidence),
                       Message.Service_.str(), Message.Target_.str(),
-                      Message.StartedUnixMs_, Message.Failed_,
+                      Message.StartedUnixMs_, static_cast<int>(Message.News_),
                       Message.PassOn_});
 }
 
@@ -115,10 +116,13 @@
 }
 
 EvidenceMessage evidenceOf(const Json &Body) {
+  const int News = Body.at(5).get<int>();
+  if (News < 0 || News > static_cast<int>(TargetNews::Failed))
+    throw std::out_of_range("news of a target");
   return EvidenceMessage{ServiceName(Body.at(2).get<std::string>()),
                          TargetId(Body.at(3).get<std::string>()),
                          Body.at(4).get<std::uint64_t>(),
-                         Body.at(5).get<bool>(), Body.at(6).get<bool>()};
+                         static_cast<TargetNews>(News), Body.at(6).get<bool>()};
 }
 
 } // namespace
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -36,8 +36,10 @@
 /// Pauses between trials of a target while all of the service are ejected.
 constexpr Duration DesperatePause = std::chrono::milliseconds(300);
 constexpr Duration CostlyDesperatePause = std::chrono::milliseconds(1'000);
-/// Trials in a row that must succeed: a gray target succeeds now and then.
-constexpr std::uint32_t TrialsToReinstate = 2;
+/// A gray target succeeds now and then: after a trial, it gets further requests
+/// only where others would have to wait, until so many have succeeded in a row.
+constexpr std::uint32_t ProbationSuccesses = 3;
+constexpr double ProbationCharge = 0.8;
 /// Share of failed requests from which the floor is kept at all cost: below it
 /// the ejections do what they are meant to.
 constexpr double FloorUnservedShare = 0.08;
@@ -137,6 +139,24 @@
                      });
 }
 
+std::string TargetBalancer::describe(TimePoint Now) const {
+  std::string Text;
+  for (const std::pair<const TargetId, State> &Each : States_) {
+    const State &Seen = Each.second;
+    const std::size_t Own = Seen.Running_.size();
+    Text += std::to_string(Own) + "+" +
+            std::to_string(std::lround(load(Seen, Now) -
+                                       static_cast<double>(Own)));
+    Text += Seen.Entry_.Leaving_     ? "l"
+            : Seen.Ejected_          ? "e"
+            : Seen.Failures_ > 0     ? "p"
+            : Now < Seen.RefusingUntil_ ? "f"
+                                     : "";
+    Text += Seen.Entry_.Domain_ == OwnDomain_ ? "o " : " ";
+  }
+  return Text;
+}
+
 double TargetBalancer::drainRate(TimePoint Now) const {
   double Slots = 0;
   for (const std::pair<const TargetId, State> &Each : States_)
@@ -155,8 +175,6 @@
 
 Duration TargetBalancer::trialPause(const State &Each, bool MayRepeat,
                                     TimePoint Now) const {
-  if (Each.Successes_ > 0)
-    return Duration::zero();
   if (areAllEjected())
     return MayRepeat ? DesperatePause : CostlyDesperatePause;
   if (isFloorAtRisk(Now))
@@ -203,6 +221,8 @@
     double Cost = expected(Seen, Now);
     if (Seen.Entry_.Domain_ != OwnDomain_)
       Cost += ForeignDomainPart;
+    if (Seen.Failures_ > 0 && !Seen.Running_.empty())
+      Cost += ProbationCharge;
     constexpr double SilentPenalty = 1e9;
     if (isSilent(Seen, Now))
       Cost += SilentPenalty;
@@ -278,6 +298,7 @@
                                   TimePoint StartedAt, TimePoint Now) {
   switch (Evidence) {
   case AttemptEvidence::Answered:
+    Each.HasFailedLate_ = false;
     // An answer to a request from before the failure proves nothing since.
     if (!Each.Ejected_ || StartedAt > Each.FailedAt_)
       succeed(Each);
@@ -296,10 +317,7 @@
       eject(Each, Now);
     break;
   case AttemptEvidence::FailedLate:
-    if (Each.HasFailedLate_ && Now - Each.FailedLateAt_ < LateFailureMemory)
-      eject(Each, Now);
-    Each.HasFailedLate_ = true;
-    Each.FailedLateAt_ = Now;
+    doubt(Each, Now);
     break;
   case AttemptEvidence::Refused:
     Each.RefusingUntil_ = Now + RefusalPause;
@@ -316,15 +334,26 @@
   Unserved_ = Unserved_ * Kept + (Served ? 0 : 1);
 }
 
-void TargetBalancer::peerEvidence(const TargetId &Id, bool Failed,
+void TargetBalancer::peerEvidence(const TargetId &Id, TargetNews News,
                                   TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
   if (It == States_.end())
     return;
-  if (Failed)
-    eject(It->second, Now);
-  else
-    succeed(It->second);
+  switch (News) {
+  case TargetNews::Failed:
+    return eject(It->second, Now);
+  case TargetNews::Doubtful:
+    return doubt(It->second, Now);
+  case TargetNews::Recovered:
+    return succeed(It->second);
+  }
+}
+
+void TargetBalancer::doubt(State &Each, TimePoint Now) {
+  if (Each.HasFailedLate_ && Now - Each.FailedLateAt_ < LateFailureMemory)
+    eject(Each, Now);
+  Each.HasFailedLate_ = true;
+  Each.FailedLateAt_ = Now;
 }
 
 void TargetBalancer::eject(State &Each, TimePoint Now) {
@@ -338,11 +367,9 @@
 }
 
 void TargetBalancer::succeed(State &Each) {
-  if (Each.Ejected_ && ++Each.Successes_ < TrialsToReinstate)
-    return;
   Each.Ejected_ = false;
-  Each.Failures_ = 0;
-  Each.Successes_ = 0;
+  if (Each.Failures_ > 0 && ++Each.Successes_ >= ProbationSuccesses)
+    Each.Failures_ = 0;
 }
 
 bool TargetBalancer::isEjected(const TargetId &Id, TimePoint Now) const {
