--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -12,9 +12,8 @@
 /// Weight of a new sample in the decayed means.
 constexpr double ServiceWeight = 0.03;
 constexpr double TargetWeight = 0.2;
-/// Time in which a report about other hosts' requests loses two thirds of its
-/// meaning: about the length of a request.
-constexpr double ForeignDecaySeconds = 0.4;
+/// A report about other hosts' requests says nothing after this time.
+constexpr double ForeignMemorySeconds = 3;
 /// Time in which what is known of a target's speed loses two thirds of its
 /// meaning, so that a target that was slow gets requests again.
 constexpr double SlownessDecaySeconds = 4;
@@ -87,8 +86,14 @@
 
 double TargetBalancer::load(const State &Each, TimePoint Now) const {
   const double Age = seconds(Now - Each.ForeignAt_);
-  return static_cast<double>(Each.Running_.size()) +
-         Each.Foreign_ * std::exp(-Age / ForeignDecaySeconds);
+  const double Own = static_cast<double>(Each.Running_.size());
+  if (Age > ForeignMemorySeconds)
+    return Own;
+  // Since the report, the target has worked off its queue; new requests of
+  // other hosts are not known.
+  constexpr double MicrosecondsPerSecond = 1e6;
+  const double Ended = Age * Each.Entry_.Slots_ * MicrosecondsPerSecond / Mean_;
+  return Own + std::max(0.0, Each.Foreign_ - Ended);
 }
 
 double TargetBalancer::slowness(const State &Each, TimePoint Now) const {
