Space trials of ejected targets by need: floor, waiting requests, hosts

Trials keep only the excess over the floor in use, hosts differ in time, and waiting requests shorten the pauses.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -172,8 +172,8 @@
 
 private:
   struct Service {
-    explicit Service(const GatewayTerms &Terms)
-        : Balancer_(Terms.Domain_, Terms.FloorShare_) {}
+    Service(const GatewayTerms &Terms, std::uint64_t Salt)
+        : Balancer_(Terms.Domain_, Terms.FloorShare_, Salt) {}
 
     TargetBalancer Balancer_;
     ResendBudget Budget_;
@@ -205,6 +205,7 @@
 
   GatewayTerms Terms_;
   RandomSource &Random_;
+  std::uint64_t Salt_; ///< Tells this host from others.
   std::map<ServiceName, double> SlackParts_;
   double RestSlackPart_ = 0;
   std::shared_ptr<const RouteTable> Table_;
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -66,8 +66,12 @@
 
 class TargetBalancer {
 public:
-  TargetBalancer(FailureDomain OwnDomain, double FloorShare)
-      : OwnDomain_(std::move(OwnDomain)), FloorShare_(FloorShare) {}
+  /// `Salt` differs between hosts, so that they do not try an ejected target at
+  /// the same moment.
+  TargetBalancer(FailureDomain OwnDomain, double FloorShare,
+                 std::uint64_t Salt)
+      : OwnDomain_(std::move(OwnDomain)), FloorShare_(FloorShare),
+        Salt_(Salt) {}
 
   /// Takes the service's current targets.
   void setTargets(const std::vector<TargetEntry> &Targets, TimePoint Now);
@@ -86,13 +90,16 @@
                     AttemptEvidence Evidence, Duration Usual,
                     std::optional<ReportedLoad> Load, TimePoint Now);
 
+  /// Tells whether requests wait for room, which makes ejected targets dear.
+  void setCrowded(bool IsCrowded) { IsCrowded_ = IsCrowded; }
+
   /// A request ended, served or not.
   void requestEnded(bool Served, TimePoint Now);
 
   /// Another host reports what it saw of a target.
   void peerEvidence(const TargetId &Id, TargetNews News, TimePoint Now);
 
-  bool isEjected(const TargetId &Id, TimePoint Now) const;
+  bool isEjected(const TargetId &Id) const;
 
   /// True when a target besides tried ones is known, full or not.
   bool hasTarget(const PickTerms &Terms) const;
@@ -105,7 +112,7 @@
   std::string describe(TimePoint Now) const;
 
   std::size_t size() const { return States_.size(); }
-  std::size_t ejectedCount(TimePoint Now) const;
+  std::size_t ejectedCount() const;
 
   /// Time until the target that is free first is expected to be free.
   Duration expectedRoom(TimePoint Now) const;
@@ -122,6 +129,8 @@
     std::uint32_t Failures_ = 0;  ///< Since it was last in use.
     std::uint32_t Successes_ = 0; ///< Since the last failure.
     TimePoint FailedAt_;
+    TimePoint TriedAt_; ///< Last news of it from any host while ejected.
+    double Jitter_ = 1; ///< Of trial pauses; differs between hosts.
     TimePoint FailedLateAt_;
     bool HasFailedLate_ = false;
     bool Ejected_ = false; ///< Stays set until a trial succeeds.
@@ -133,8 +142,10 @@
   double load(const State &Each, TimePoint Now) const;
   double slowness(const State &Each, TimePoint Now) const;
   double expected(const State &Each, TimePoint Now) const;
-  Duration trialPause(const State &Each, bool MayRepeat, TimePoint Now) const;
+  Duration trialPause(const State &Each, bool MayRepeat) const;
   bool isFloorAtRisk(TimePoint Now) const;
+  bool isCapacityShort() const;
+  const State *floorTrial(TimePoint Now) const;
   void takeEvidence(State &Each, AttemptEvidence Evidence, TimePoint StartedAt,
                     TimePoint Now);
   bool isSilent(const State &Each, TimePoint Now) const;
@@ -144,10 +155,12 @@
   bool mayTry(const State &Each, const PickTerms &Terms, TimePoint Now) const;
   void doubt(State &Each, TimePoint Now);
   void eject(State &Each, TimePoint Now);
-  void succeed(State &Each);
+  void succeed(State &Each, TimePoint Now);
 
   FailureDomain OwnDomain_;
   double FloorShare_;
+  std::uint64_t Salt_;
+  bool IsCrowded_ = false;
   std::map<TargetId, State> States_;
   /// Decayed mean latency in microseconds, by the time that requests take.
   double Mean_ = 200'000;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -69,7 +69,7 @@
 }
 
 GatewayCore::GatewayCore(GatewayTerms Terms, RandomSource &Random)
-    : Terms_(std::move(Terms)), Random_(Random) {}
+    : Terms_(std::move(Terms)), Random_(Random), Salt_(Random.next()) {}
 
 void GatewayCore::setTable(std::shared_ptr<const RouteTable> Table) {
   Table_ = std::move(Table);
@@ -77,7 +77,7 @@
 }
 
 GatewayCore::Service &GatewayCore::serviceOf(const ServiceName &Name) {
-  return Services_.try_emplace(Name, Terms_).first->second;
+  return Services_.try_emplace(Name, Terms_, Salt_).first->second;
 }
 
 void GatewayCore::setTargets(const std::map<TargetId, TargetEntry> &Targets,
@@ -268,6 +268,7 @@
   if (std::holds_alternative<WaitsForRoom>(Placed)) {
     Request->Waits_ = true;
     Of.Waiting_.push_back(Request);
+    Of.Balancer_.setCrowded(true);
   }
   return Placed;
 }
@@ -333,6 +334,7 @@
     Left.push_back(Each);
   }
   Of.Waiting_ = std::move(Left);
+  Of.Balancer_.setCrowded(!Of.Waiting_.empty());
 }
 
 GatewayCore::Released GatewayCore::release(TimePoint Now) {
@@ -361,7 +363,7 @@
     return std::nullopt;
   const std::optional<TargetPick> Pick =
       Of.Balancer_.pick(pickTerms(Request, Of, Now), Now, Random_);
-  if (!Pick || Of.Balancer_.isEjected(Pick->Target_.Id_, Now) ||
+  if (!Pick || Of.Balancer_.isEjected(Pick->Target_.Id_) ||
       !Of.Budget_.take(resendTerms(Request.Service_), Now))
     return std::nullopt;
   Request.IsHedged_ = true;
@@ -398,7 +400,7 @@
   else if (Evidence != AttemptEvidence::Answered &&
            Evidence != AttemptEvidence::Refused &&
            Evidence != AttemptEvidence::None &&
-           Balancer.isEjected(Order.Target_.Id_, Now))
+           Balancer.isEjected(Order.Target_.Id_))
     Next.News_ = TargetNews::Failed;
   return Next;
 }
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -293,7 +293,7 @@
          {"ms", std::to_string(toMilliseconds(Now - Order.StartedAt_))},
          {"trial", Order.IsTrial_ ? "1" : "0"},
          {"resend", Order.IsResend_ ? "1" : "0"},
-         {"ejected", std::to_string(Targets ? Targets->ejectedCount(Now) : 0)},
+         {"ejected", std::to_string(Targets ? Targets->ejectedCount() : 0)},
          {"targets", std::to_string(Targets ? Targets->size() : 0)},
          {"config", std::to_string(Request_->Table_->config().Version_)},
          {"detail", Detail}});
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <xxhash.h>
 
 namespace kumquatpitch {
 
@@ -26,19 +27,31 @@
 /// by half with each failure in a row up to the longest.
 constexpr Duration FirstTrialPause = std::chrono::milliseconds(1'500);
 constexpr Duration LongestTrialPause = std::chrono::milliseconds(3'000);
-/// Pause before a trial by a request that is lost if it fails: the length of a
-/// usual gray failure.
-constexpr Duration CostlyTrialPause = std::chrono::milliseconds(4'500);
-/// With too many targets ejected while requests fail, each target gets a
-/// request within this time.
+/// The same for a request that is lost if it fails: the length of a usual gray
+/// failure.
+constexpr Duration FirstCostlyPause = std::chrono::milliseconds(4'500);
+constexpr Duration LongestCostlyPause = std::chrono::milliseconds(7'000);
+/// Trial pauses are this part of the usual while requests wait for room.
+constexpr double CrowdedPausePart = 0.5;
+/// While many requests fail, only this share of the targets may be without a
+/// request for so long: the floor's share less a margin for targets that do not
+/// count, within the two seconds in which a target counts as used.
+constexpr double FloorMargin = 0.2;
 constexpr Duration FloorTrialPause = std::chrono::milliseconds(1'400);
 /// Pauses between trials of a target while all of the service are ejected.
 constexpr Duration DesperatePause = std::chrono::milliseconds(300);
 constexpr Duration CostlyDesperatePause = std::chrono::milliseconds(1'000);
-/// A gray target succeeds now and then: after a trial, it gets further requests
-/// only where others would have to wait, until so many have succeeded in a row.
-constexpr std::uint32_t ProbationSuccesses = 3;
+/// A gray target succeeds now and then: so many trials in a row must succeed.
+/// One is enough while less than half of the targets are in use.
+constexpr std::uint32_t TrialsToReinstate = 2;
+constexpr Duration SecondTrialPause = std::chrono::milliseconds(120);
+constexpr double ShortCapacityShare = 0.5;
+/// After the trials it gets further requests only where others would have to
+/// wait, until so many have succeeded.
+constexpr std::uint32_t ProbationSuccesses = 4;
 constexpr double ProbationCharge = 0.8;
+/// Trial pauses of different hosts differ by up to this part.
+constexpr double TrialJitter = 0.4;
 /// Share of failed requests from which the floor is kept at all cost: below it
 /// the ejections do what they are meant to.
 constexpr double FloorUnservedShare = 0.08;
@@ -60,6 +73,13 @@
 constexpr double HopelessFactor = 1.7;
 constexpr Duration LeastSilence = std::chrono::milliseconds(600);
 
+double jitterOf(const TargetId &Id, std::uint64_t Salt) {
+  constexpr std::uint64_t Steps = 1'024;
+  const std::uint64_t Hash =
+      XXH3_64bits_withSeed(Id.str().data(), Id.str().size(), Salt);
+  return 1 + TrialJitter * static_cast<double>(Hash % Steps) / Steps;
+}
+
 double seconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -76,6 +96,7 @@
         Known.Entry_.Address_ != Each.Address_) {
       Known = State();
       Known.KnownSince_ = Now;
+      Known.Jitter_ = jitterOf(Each.Id_, Salt_);
     }
     Known.Entry_ = Each;
   }
@@ -172,32 +193,58 @@
 }
 
 bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
-  if (Ended_ <= 0 || Unserved_ / Ended_ < FloorUnservedShare)
-    return false;
-  const double Kept = static_cast<double>(States_.size() - ejectedCount(Now));
-  return Kept < FloorShare_ * static_cast<double>(States_.size());
+  static_cast<void>(Now);
+  return Ended_ > 0 && Unserved_ / Ended_ >= FloorUnservedShare;
 }
 
-Duration TargetBalancer::trialPause(const State &Each, bool MayRepeat,
-                                    TimePoint Now) const {
+bool TargetBalancer::isCapacityShort() const {
+  return IsCrowded_ ||
+         static_cast<double>(ejectedCount()) >
+             (1 - ShortCapacityShare) * static_cast<double>(States_.size());
+}
+
+/// The ejected target that was without a request for longest, when so many are
+/// that the floor is at risk; else null.
+const TargetBalancer::State *TargetBalancer::floorTrial(TimePoint Now) const {
+  if (!isFloorAtRisk(Now))
+    return nullptr;
+  std::size_t Unused = 0;
+  const State *Oldest = nullptr;
+  for (const std::pair<const TargetId, State> &Each : States_) {
+    const State &Seen = Each.second;
+    if (!Seen.Ejected_ || Seen.OnTrial_ || Seen.Entry_.Leaving_ ||
+        Now - Seen.TriedAt_ < FloorTrialPause * Seen.Jitter_)
+      continue;
+    ++Unused;
+    if (!Oldest || Seen.TriedAt_ < Oldest->TriedAt_)
+      Oldest = &Seen;
+  }
+  const double Most = (1 - FloorShare_ - FloorMargin) *
+                      static_cast<double>(States_.size());
+  return static_cast<double>(Unused) > Most ? Oldest : nullptr;
+}
+
+Duration TargetBalancer::trialPause(const State &Each, bool MayRepeat) const {
+  if (Each.Successes_ > 0)
+    return SecondTrialPause;
   if (areAllEjected())
     return MayRepeat ? DesperatePause : CostlyDesperatePause;
-  if (isFloorAtRisk(Now))
-    return FloorTrialPause;
-  if (!MayRepeat)
-    return CostlyTrialPause;
-  Duration Pause = FirstTrialPause;
+  Duration Pause = MayRepeat ? FirstTrialPause : FirstCostlyPause;
+  const Duration Longest = MayRepeat ? LongestTrialPause : LongestCostlyPause;
   for (std::uint32_t Index = 1; Index < Each.Failures_; ++Index)
-    Pause = std::min(LongestTrialPause, Pause + Pause / 2);
+    Pause = std::min(Longest, Pause + Pause / 2);
   return Pause;
 }
 
 bool TargetBalancer::mayTry(const State &Each, const PickTerms &Terms,
                             TimePoint Now) const {
+  const double Pause =
+      static_cast<double>(trialPause(Each, Terms.MayRepeat_).count()) *
+      Each.Jitter_ * (IsCrowded_ ? CrowdedPausePart : 1);
   if (!Each.Ejected_ || Each.OnTrial_ ||
-      Now - Each.FailedAt_ < trialPause(Each, Terms.MayRepeat_, Now))
+      static_cast<double>((Now - Each.TriedAt_).count()) < Pause)
     return false;
-  return Terms.MayRepeat_ || isFloorAtRisk(Now) || areAllEjected() ||
+  return Terms.MayRepeat_ || areAllEjected() ||
          Now - RepeatableAt_ > RepeatableMemory;
 }
 
@@ -210,12 +257,13 @@
   State *Trial = nullptr;
   double BestCost = 0;
   constexpr double RandomPart = 0.02;
+  const State *ForFloor = floorTrial(Now);
   for (std::pair<const TargetId, State> &Each : States_) {
     State &Seen = Each.second;
     if (Seen.Entry_.Leaving_ || Terms.Tried_.count(Each.first))
       continue;
-    if (mayTry(Seen, Terms, Now) &&
-        (!Trial || Seen.FailedAt_ < Trial->FailedAt_))
+    if ((mayTry(Seen, Terms, Now) || &Seen == ForFloor) &&
+        (!Trial || Seen.TriedAt_ < Trial->TriedAt_))
       Trial = &Seen;
     if (!hasRoom(Seen, Now) || Seen.Ejected_)
       continue;
@@ -306,7 +354,7 @@
     Each.HasFailedLate_ = false;
     // An answer to a request from before the failure proves nothing since.
     if (!Each.Ejected_ || StartedAt > Each.FailedAt_)
-      succeed(Each);
+      succeed(Each, Now);
     break;
   case AttemptEvidence::Failed:
   case AttemptEvidence::Unreachable:
@@ -350,7 +398,7 @@
   case TargetNews::Doubtful:
     return doubt(It->second, Now);
   case TargetNews::Recovered:
-    return succeed(It->second);
+    return succeed(It->second, Now);
   }
 }
 
@@ -367,24 +415,28 @@
   if (!Each.Ejected_ || Now - Each.FailedAt_ > SameFailure)
     ++Each.Failures_;
   Each.FailedAt_ = Now;
+  Each.TriedAt_ = Now;
   Each.Ejected_ = true;
   Each.Successes_ = 0;
 }
 
-void TargetBalancer::succeed(State &Each) {
-  Each.Ejected_ = false;
-  if (Each.Failures_ > 0 && ++Each.Successes_ >= ProbationSuccesses)
+void TargetBalancer::succeed(State &Each, TimePoint Now) {
+  if (Each.Failures_ == 0)
+    return;
+  ++Each.Successes_;
+  Each.TriedAt_ = Now;
+  if (Each.Successes_ >= (isCapacityShort() ? 1 : TrialsToReinstate))
+    Each.Ejected_ = false;
+  if (Each.Successes_ >= ProbationSuccesses)
     Each.Failures_ = 0;
 }
 
-bool TargetBalancer::isEjected(const TargetId &Id, TimePoint Now) const {
-  static_cast<void>(Now);
+bool TargetBalancer::isEjected(const TargetId &Id) const {
   const std::map<TargetId, State>::const_iterator It = States_.find(Id);
   return It != States_.end() && It->second.Ejected_;
 }
 
-std::size_t TargetBalancer::ejectedCount(TimePoint Now) const {
-  static_cast<void>(Now);
+std::size_t TargetBalancer::ejectedCount() const {
   return static_cast<std::size_t>(
       std::count_if(States_.begin(), States_.end(),
                     [](const std::pair<const TargetId, State> &Each) {
