Keep path faults local, use partly serving targets while requests wait

Cause: a path cut between some hosts and targets ejected those targets on all hosts, and deadline failures of full targets counted as gray ones.

--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -133,7 +133,10 @@
     double Jitter_ = 1; ///< Of trial pauses; differs between hosts.
     TimePoint FailedLateAt_;
     bool HasFailedLate_ = false;
-    bool Ejected_ = false; ///< Stays set until a trial succeeds.
+    bool Ejected_ = false; ///< Stays set until trials succeed.
+    double Served_ = 0;    ///< Decayed counts since the ejection,
+    double Unserved_ = 0;  ///< by what requests showed.
+    TimePoint RatedAt_;
     bool OnTrial_ = false; ///< A trial request is in progress.
     TimePoint HeardAt_;    ///< When it last gave a whole answer.
     TimePoint RefusingUntil_;
@@ -145,6 +148,8 @@
   Duration trialPause(const State &Each, bool MayRepeat) const;
   bool isFloorAtRisk(TimePoint Now) const;
   bool isCapacityShort() const;
+  static void rate(State &Each, bool Served, TimePoint Now);
+  static double servedShare(const State &Each);
   const State *floorTrial(TimePoint Now) const;
   void takeEvidence(State &Each, AttemptEvidence Evidence, TimePoint StartedAt,
                     TimePoint Now);
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -21,6 +21,8 @@
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
 /// An answer needs this much of the time left to reach the caller.
 constexpr Duration DeliveryTime = std::chrono::milliseconds(15);
+/// A failure this close to the deadline is the target's own time limit.
+constexpr Duration DeadlineMargin = std::chrono::milliseconds(50);
 /// Least time in which a resend has a chance.
 constexpr Duration LeastResendTime = std::chrono::milliseconds(60);
 /// A second target is asked when the first takes this many times the usual.
@@ -182,6 +184,9 @@
   case AttemptOutcome::Success:
     return AttemptEvidence::Answered;
   case AttemptOutcome::Failure: {
+    // The target gave up at the deadline that it was given.
+    if (Request.GiveUpAt_ - Now < DeadlineMargin)
+      return AttemptEvidence::None;
     const Duration Early(static_cast<Duration::rep>(
         LateFailurePart *
         static_cast<double>(usualLatency(*Request.Route_).count())));
@@ -393,14 +398,14 @@
       Result == AttemptOutcome::Success
           ? GatewayDecision{GatewayStep::Deliver, {}, std::nullopt}
           : afterFailure(Request, Result, Now);
-  if (Evidence == AttemptEvidence::FailedLate)
+  // What is unreachable from here or silent may be a matter of the path.
+  if (Evidence == AttemptEvidence::FailedLate ||
+      Evidence == AttemptEvidence::Unreachable ||
+      Evidence == AttemptEvidence::Silent)
     Next.News_ = TargetNews::Doubtful;
   else if (Evidence == AttemptEvidence::Answered && Order.IsTrial_)
     Next.News_ = TargetNews::Recovered;
-  else if (Evidence != AttemptEvidence::Answered &&
-           Evidence != AttemptEvidence::Refused &&
-           Evidence != AttemptEvidence::None &&
-           Balancer.isEjected(Order.Target_.Id_))
+  else if (Evidence == AttemptEvidence::Failed)
     Next.News_ = TargetNews::Failed;
   return Next;
 }
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -50,6 +50,13 @@
 /// wait, until so many have succeeded.
 constexpr std::uint32_t ProbationSuccesses = 4;
 constexpr double ProbationCharge = 0.8;
+/// An ejected target that still serves this share of its requests gets some
+/// while others have no room: better than a refusal.
+constexpr double UsefulServedShare = 0.35;
+constexpr double RateDecaySeconds = 3;
+/// What is assumed of a target that has just been ejected, in requests.
+constexpr double PriorServed = 0.3;
+constexpr double PriorRequests = 1;
 /// Trial pauses of different hosts differ by up to this part.
 constexpr double TrialJitter = 0.4;
 /// Share of failed requests from which the floor is kept at all cost: below it
@@ -197,6 +204,18 @@
   return Ended_ > 0 && Unserved_ / Ended_ >= FloorUnservedShare;
 }
 
+void TargetBalancer::rate(State &Each, bool Served, TimePoint Now) {
+  const double Kept = std::exp(-seconds(Now - Each.RatedAt_) / RateDecaySeconds);
+  Each.RatedAt_ = Now;
+  Each.Served_ = Each.Served_ * Kept + (Served ? 1 : 0);
+  Each.Unserved_ = Each.Unserved_ * Kept + (Served ? 0 : 1);
+}
+
+double TargetBalancer::servedShare(const State &Each) {
+  return (Each.Served_ + PriorServed) /
+         (Each.Served_ + Each.Unserved_ + PriorRequests);
+}
+
 bool TargetBalancer::isCapacityShort() const {
   return IsCrowded_ ||
          static_cast<double>(ejectedCount()) >
@@ -265,7 +284,9 @@
     if ((mayTry(Seen, Terms, Now) || &Seen == ForFloor) &&
         (!Trial || Seen.TriedAt_ < Trial->TriedAt_))
       Trial = &Seen;
-    if (!hasRoom(Seen, Now) || Seen.Ejected_)
+    const bool IsUseful =
+        IsCrowded_ && servedShare(Seen) >= UsefulServedShare;
+    if (!hasRoom(Seen, Now) || (Seen.Ejected_ && !IsUseful))
       continue;
     const double Slowness = slowness(Seen, Now);
     if (static_cast<double>(Terms.Usual_.count()) * Slowness >
@@ -279,6 +300,8 @@
     constexpr double SilentPenalty = 1e9;
     if (isSilent(Seen, Now))
       Cost += SilentPenalty;
+    if (Seen.Ejected_)
+      Cost += SilentPenalty * (2 - servedShare(Seen));
     Cost *= 1 + RandomPart * static_cast<double>(Random.below(1'000)) / 1'000;
     if (!Best || Cost < BestCost) {
       Best = &Seen;
@@ -414,6 +437,11 @@
   constexpr Duration SameFailure = std::chrono::milliseconds(300);
   if (!Each.Ejected_ || Now - Each.FailedAt_ > SameFailure)
     ++Each.Failures_;
+  if (!Each.Ejected_) {
+    Each.Served_ = 0;
+    Each.Unserved_ = 0;
+  }
+  rate(Each, false, Now);
   Each.FailedAt_ = Now;
   Each.TriedAt_ = Now;
   Each.Ejected_ = true;
@@ -424,6 +452,7 @@
   if (Each.Failures_ == 0)
     return;
   ++Each.Successes_;
+  rate(Each, true, Now);
   Each.TriedAt_ = Now;
   if (Each.Successes_ >= (isCapacityShort() ? 1 : TrialsToReinstate))
     Each.Ejected_ = false;
