--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -259,11 +259,10 @@
               const CallResult &Result) {
     Parts_.Metrics_.count(std::string("attempts_") +
                           attemptOutcomeName(Outcome));
-    const bool Failed = Outcome == AttemptOutcome::Failure ||
-                        Outcome == AttemptOutcome::Broken ||
-                        Outcome == AttemptOutcome::TimedOut ||
-                        Outcome == AttemptOutcome::NotConnected;
-    if (Failed)
+    // The other connections to it are likely dead as well.
+    if (Outcome == AttemptOutcome::Broken ||
+        Outcome == AttemptOutcome::TimedOut ||
+        Outcome == AttemptOutcome::NotConnected)
       Parts_.Client_.closeIdle(Order.Target_.Address_);
     if (Outcome != AttemptOutcome::Success || Order.IsTrial_ ||
         Order.IsResend_)
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -20,7 +20,7 @@
 constexpr double SlownessDecaySeconds = 4;
 /// A request outside the own failure domain costs bytes between domains; it is
 /// made when it is expected to save more than this part of a request's time.
-constexpr double ForeignDomainPart = 0.35;
+constexpr double ForeignDomainPart = 0.9;
 /// A target that just started is slower by about this factor.
 constexpr double ColdFactor = 1.6;
 /// Pause before a trial by a request that can be repeated elsewhere; it grows
