--- a/include/kumquatpitch/event-log.h
+++ b/include/kumquatpitch/event-log.h
@@ -1,6 +1,7 @@
-// Structured log lines on standard output: `TIME LEVEL PART EVENT key=value...`.
-// Lines wait in a bounded buffer and are written only while the output takes
-// them, so logging never blocks; what is left out is counted and told.
+// Structured log lines on standard output: `TIME LEVEL PART EVENT
+// key=value...`. Lines wait in a bounded buffer and are written only while the
+// output takes them, so logging never blocks; what is left out is counted and
+// told.
 
 #ifndef KUMQUATPITCH_EVENT_LOG_H
 #define KUMQUATPITCH_EVENT_LOG_H
--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -1,6 +1,7 @@
 // All decisions about callers' requests on one host of a gateway: route,
 // service, target, resend, answer or refusal. Composed of RouteTable,
-// TargetBalancer and ResendBudget; GatewayExchange carries its orders out. Pure.
+// TargetBalancer and ResendBudget; GatewayExchange carries its orders out.
+// Pure.
 
 #ifndef KUMQUATPITCH_GATEWAY_CORE_H
 #define KUMQUATPITCH_GATEWAY_CORE_H
@@ -33,8 +34,8 @@
 
 /// A caller's request as far as routing needs it.
 struct RequestHead {
-  std::string Host_; ///< Virtual host, without a port.
-  std::string Path_; ///< Without the query.
+  std::string Host_;                 ///< Virtual host, without a port.
+  std::string Path_;                 ///< Without the query.
   std::optional<Duration> TimeLeft_; ///< How long the caller waits.
 
   bool operator==(const RequestHead &) const = default;
@@ -109,7 +110,7 @@
 
 struct GatewayDecision {
   GatewayStep Step_ = GatewayStep::Fail;
-  GatewayRefusal Refusal_; ///< With Fail.
+  GatewayRefusal Refusal_;         ///< With Fail.
   std::optional<TargetNews> News_; ///< For the other hosts.
 
   bool operator==(const GatewayDecision &) const = default;
@@ -150,12 +151,13 @@
   /// A second attempt beside the first, which is slow; none when the budget or
   /// the targets do not allow it.
   std::optional<GatewayAttempt> placeHedge(GatewayRequest &Request,
-                                         TimePoint Now);
+                                           TimePoint Now);
 
   /// Takes the end of an attempt and decides what is next.
-  GatewayDecision attemptEnded(GatewayRequest &Request, const GatewayAttempt &Order,
-                        AttemptOutcome Result, std::optional<ReportedLoad> Load,
-                        TimePoint Now);
+  GatewayDecision attemptEnded(GatewayRequest &Request,
+                               const GatewayAttempt &Order,
+                               AttemptOutcome Result,
+                               std::optional<ReportedLoad> Load, TimePoint Now);
 
   /// A request was answered, with success or not.
   void requestEnded(const GatewayRequest &Request, bool Served, TimePoint Now);
@@ -188,11 +190,12 @@
   Duration hedgeDelay(const VirtualRoute &Of) const;
   void noteLatency(const VirtualRoute &Of, Duration Latency);
   AttemptEvidence evidenceOf(const GatewayRequest &Request,
-                             const GatewayAttempt &Order,
-                             AttemptOutcome Result, TimePoint Now) const;
-  GatewayRefusal refuse(ResultCode Code, std::optional<Duration> RetryAfter) const;
+                             const GatewayAttempt &Order, AttemptOutcome Result,
+                             TimePoint Now) const;
+  GatewayRefusal refuse(ResultCode Code,
+                        std::optional<Duration> RetryAfter) const;
   GatewayAttempt start(GatewayRequest &Request, Service &Of,
-                     const TargetPick &Pick, bool IsResend, TimePoint Now);
+                       const TargetPick &Pick, bool IsResend, TimePoint Now);
   Placement tryToPlace(GatewayRequest &Request, Service &Of, TimePoint Now);
   Placement lastPlacement(GatewayRequest &Request, Service &Of, TimePoint Now);
   PickTerms pickTerms(const GatewayRequest &Request, Service &Of,
@@ -200,7 +203,7 @@
   void releaseService(Service &Of, TimePoint Now, Released &Out);
   void orderWaiting(Service &Of, TimePoint Now) const;
   GatewayDecision afterFailure(GatewayRequest &Request, AttemptOutcome Result,
-                        TimePoint Now);
+                               TimePoint Now);
   Service &serviceOf(const ServiceName &Name);
 
   GatewayTerms Terms_;
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -79,7 +79,7 @@
   asio::ip::udp::endpoint Sender_;
   std::array<char, 2'048> DatagramBuffer_;
   asio::signal_set Signals_;
-  std::uint64_t MembersSeen_ = 0; ///< Membership_.changes() last applied.
+  std::uint64_t MembersSeen_ = 0;      ///< Membership_.changes() last applied.
   std::map<TargetId, TimePoint> Told_; ///< Evidence that was told recently.
   std::optional<TimePoint> StopBegan_;
   bool HadStore_ = true; ///< The last read of the store succeeded.
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -1,6 +1,6 @@
 // Carries callers' requests through GatewayCore: admits them, makes the
-// attempts it orders, and answers. Handles the requests of one HttpServer. Makes
-// no decision of its own. Runs on one thread.
+// attempts it orders, and answers. Handles the requests of one HttpServer.
+// Makes no decision of its own. Runs on one thread.
 
 #ifndef KUMQUATPITCH_GATEWAY_FRONT_H
 #define KUMQUATPITCH_GATEWAY_FRONT_H
--- a/include/kumquatpitch/gateway-platform.h
+++ b/include/kumquatpitch/gateway-platform.h
@@ -17,7 +17,7 @@
 /// A caller's question which hosts to use.
 struct AddressQuestion {
   std::string VirtualHost_;
-  Region Region_;         ///< Of the caller.
+  Region Region_;        ///< Of the caller.
   FailureDomain Domain_; ///< Of the caller.
 
   bool operator==(const AddressQuestion &) const = default;
--- a/include/kumquatpitch/gateway-settings.h
+++ b/include/kumquatpitch/gateway-settings.h
@@ -19,10 +19,10 @@
   HostId Id_;
   Region Region_;
   FailureDomain Domain_;
-  std::string Address_; ///< IP address of all of the host's ports.
-  Endpoint Front_;      ///< Callers' requests.
-  Endpoint Ready_;      ///< Readiness.
-  Endpoint Directory_;  ///< Which hosts to use.
+  std::string Address_;           ///< IP address of all of the host's ports.
+  Endpoint Front_;                ///< Callers' requests.
+  Endpoint Ready_;                ///< Readiness.
+  Endpoint Directory_;            ///< Which hosts to use.
   std::uint16_t PeerPort_ = 0;    ///< Datagrams between hosts; equal on all.
   std::uint16_t MetricsPort_ = 0; ///< 0: no metrics are served.
   std::vector<Endpoint> Seeds_;
--- a/include/kumquatpitch/host-membership.h
+++ b/include/kumquatpitch/host-membership.h
@@ -31,7 +31,7 @@
   FailureDomain Domain_;
   Region Region_;
   Incarnation Incarnation_ = 0; ///< Start of the daemon, Unix milliseconds.
-  std::uint32_t Version_ = 0; ///< Raised by the host itself with each change.
+  std::uint32_t Version_ = 0;   ///< Raised by the host itself with each change.
   MemberState State_ = MemberState::Starting;
 
   bool operator==(const Member &) const = default;
--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -31,9 +31,9 @@
 
 struct CallResult {
   CallEnd End_ = CallEnd::NotConnected;
-  HttpMessage Answer_; ///< With Answered.
-  bool Reused_ = false;      ///< The connection had served a call before.
-  std::string Detail_; ///< For the log: what failed.
+  HttpMessage Answer_;  ///< With Answered.
+  bool Reused_ = false; ///< The connection had served a call before.
+  std::string Detail_;  ///< For the log: what failed.
 };
 
 /// What is called, and for how long to wait.
--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -77,7 +77,8 @@
   CallerLimits Limits_;
   std::size_t MaxConnections_ = 0;
   bool IsDraining_ = false;
-  std::set<std::shared_ptr<HttpSession>> Sessions_; ///< At most MaxConnections_.
+  std::set<std::shared_ptr<HttpSession>>
+      Sessions_; ///< At most MaxConnections_.
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/routing-config.h
+++ b/include/kumquatpitch/routing-config.h
@@ -41,7 +41,8 @@
 /// What the configuration says of a service.
 struct ServiceRule {
   ServiceName Name_;
-  std::uint32_t MaxConnections_ = 0; ///< Of all hosts at one target; 0: unknown.
+  std::uint32_t MaxConnections_ =
+      0; ///< Of all hosts at one target; 0: unknown.
 
   bool operator==(const ServiceRule &) const = default;
 };
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -39,7 +39,7 @@
 struct FollowResult {
   bool TargetsChanged_ = false;
   std::shared_ptr<const RouteTable> NewTable_; ///< Null when unchanged.
-  std::optional<ProgressMessage> PassOn_; ///< For the own failure domain.
+  std::optional<ProgressMessage> PassOn_;      ///< For the own failure domain.
 };
 
 class StoreFollower {
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -50,7 +50,7 @@
   /// Longest time that an answer may take; a target that is expected to need
   /// longer is no choice.
   Duration TimeLeft_ = Duration::max();
-  Duration Usual_{}; ///< Usual latency of requests of this kind.
+  Duration Usual_{};          ///< Usual latency of requests of this kind.
   bool IsLastResort_ = false; ///< Better an ejected target than none.
 
   bool operator==(const PickTerms &) const = default;
@@ -68,10 +68,9 @@
 public:
   /// `Salt` differs between hosts, so that they do not try an ejected target at
   /// the same moment.
-  TargetBalancer(FailureDomain OwnDomain, double FloorShare,
-                 std::uint64_t Salt)
-      : OwnDomain_(std::move(OwnDomain)), FloorShare_(FloorShare),
-        Salt_(Salt) {}
+  TargetBalancer(FailureDomain OwnDomain, double FloorShare, std::uint64_t Salt)
+      : OwnDomain_(std::move(OwnDomain)), FloorShare_(FloorShare), Salt_(Salt) {
+  }
 
   /// Takes the service's current targets.
   void setTargets(const std::vector<TargetEntry> &Targets, TimePoint Now);
--- a/src/caller-hosts.cc
+++ b/src/caller-hosts.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/caller-hosts.h"
 
 #include <algorithm>
+#include <string>
 #include <tuple>
 #include <xxhash.h>
 
@@ -19,18 +20,15 @@
 std::vector<Ranked> rank(const std::vector<Member> &Members,
                          std::string_view VirtualHost,
                          const FailureDomain &Domain, const Region &OfRegion) {
-  const std::uint64_t Seed =
-      XXH3_64bits(VirtualHost.data(), 0);
   std::vector<Ranked> Order;
+  std::string Key;
   for (const Member &Each : Members) {
     if (Each.State_ != MemberState::Serving)
       continue;
     const int Distance =
         Each.Domain_ == Domain ? 0 : (Each.Region_ == OfRegion ? 1 : 2);
-    Order.push_back({Distance,
-                     XXH3_64bits_withSeed(Each.Id_.str().data(),
-                                          Each.Id_.str().size(), Seed),
-                     &Each});
+    Key.assign(VirtualHost).append(" ").append(Each.Id_.str());
+    Order.push_back({Distance, XXH3_64bits(Key.data(), Key.size()), &Each});
   }
   std::sort(Order.begin(), Order.end(),
             [](const Ranked &Left, const Ranked &Right) {
--- a/src/event-log.cc
+++ b/src/event-log.cc
@@ -40,8 +40,7 @@
 }
 
 void appendValue(std::string &Line, const std::string &Value) {
-  if (!Value.empty() &&
-      Value.find_first_of(" \"=\n\r") == std::string::npos) {
+  if (!Value.empty() && Value.find_first_of(" \"=\n\r") == std::string::npos) {
     Line += Value;
     return;
   }
@@ -56,7 +55,8 @@
 EventLog::EventLog(TimerService &Timers, int Output, LogLevel Least)
     : Timers_(Timers), Output_(Output), Least_(Least),
       SecondBegan_(Timers.now()) {
-  Subscription_ = Timers_.subscribe(FlushPeriod, [this](TimePoint) { flush(); });
+  Subscription_ =
+      Timers_.subscribe(FlushPeriod, [this](TimePoint) { flush(); });
 }
 
 EventLog::~EventLog() {
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -38,13 +38,15 @@
 /// A request is refused when its usual time exceeds the time left by this
 /// factor: many requests are done sooner than usual.
 constexpr double HopelessFactor = 1.7;
-/// A failure within this part of the usual latency came before any work, as gray
-/// failures mostly do. Where that part is shorter than this, nothing can be told
-/// from the time.
+/// A failure within this part of the usual latency came before any work, as
+/// gray failures mostly do. Where that part is shorter than this, nothing can
+/// be told from the time.
 constexpr double LateFailurePart = 0.25;
 constexpr Duration LeastLateFailure = std::chrono::milliseconds(20);
 
-std::string keyOf(const VirtualRoute &Of) { return Of.Host_ + " " + Of.Prefix_; }
+std::string keyOf(const VirtualRoute &Of) {
+  return Of.Host_ + " " + Of.Prefix_;
+}
 
 } // namespace
 
@@ -95,36 +97,38 @@
 }
 
 GatewayRefusal GatewayCore::refuse(ResultCode Code,
-                            std::optional<Duration> RetryAfter) const {
+                                   std::optional<Duration> RetryAfter) const {
   return GatewayRefusal{Code, httpStatus(Code), RetryAfter};
 }
 
+/// One step of smooth weighted round robin; gives the share that is next.
+static std::size_t nextShare(const std::vector<ServiceShare> &Shares,
+                             std::vector<double> &Credits) {
+  double Total = 0;
+  std::size_t Best = 0;
+  for (std::size_t Index = 0; Index < Shares.size(); ++Index) {
+    Total += Shares[Index].Weight_;
+    Credits[Index] += Shares[Index].Weight_;
+    if (Credits[Index] > Credits[Best])
+      Best = Index;
+  }
+  Credits[Best] -= Total;
+  return Best;
+}
+
 const ServiceName &GatewayCore::chooseService(const VirtualRoute &Chosen) {
   if (Chosen.Shares_.size() == 1)
     return Chosen.Shares_.front().Service_;
-  double Total = 0;
-  for (const ServiceShare &Each : Chosen.Shares_)
-    Total += Each.Weight_;
   std::vector<double> &Credits = SplitCredits_[keyOf(Chosen)];
   if (Credits.size() != Chosen.Shares_.size()) {
-    // A random phase, so that hosts with few requests each do not all begin
-    // with the same service.
-    const double Phase = static_cast<double>(Random_.below(1'000)) / 1'000;
-    double Rest = 1;
+    // Hosts begin at different places of the sequence: with few requests each,
+    // they would together send too few to the smaller shares.
     Credits.assign(Chosen.Shares_.size(), 0);
-    for (std::size_t Index = 0; Index < Credits.size(); ++Index) {
-      Credits[Index] = Phase * Rest * Total;
-      Rest = -Rest;
-    }
-  }
-  std::size_t Best = 0;
-  for (std::size_t Index = 0; Index < Credits.size(); ++Index) {
-    Credits[Index] += Chosen.Shares_[Index].Weight_;
-    if (Credits[Index] > Credits[Best])
-      Best = Index;
+    constexpr std::uint64_t MostSteps = 1'000;
+    for (std::uint64_t Left = Random_.below(MostSteps); Left > 0; --Left)
+      nextShare(Chosen.Shares_, Credits);
   }
-  Credits[Best] -= Total;
-  return Chosen.Shares_[Best].Service_;
+  return Chosen.Shares_[nextShare(Chosen.Shares_, Credits)].Service_;
 }
 
 std::variant<GatewayRefusal, std::shared_ptr<GatewayRequest>>
@@ -155,8 +159,7 @@
 }
 
 ResendTerms GatewayCore::resendTerms(const ServiceName &Of) const {
-  const std::map<ServiceName, double>::const_iterator It =
-      SlackParts_.find(Of);
+  const std::map<ServiceName, double>::const_iterator It = SlackParts_.find(Of);
   const double Part = It == SlackParts_.end() ? RestSlackPart_ : It->second;
   return ResendTerms{Terms_.ResendRatio_ * UsedRatio,
                      Terms_.ResendSlack_ * Part, Terms_.ResendWindow_};
@@ -211,18 +214,18 @@
 
 Duration GatewayCore::hedgeDelay(const VirtualRoute &Of) const {
   const Duration Usual = usualLatency(Of);
-  const double Delay =
-      Usual.count() > 0
-          ? HedgeFactor * static_cast<double>(Usual.count())
-          : HedgeFactor / ObjectiveFactor *
-                static_cast<double>(Of.Objective_.count());
+  const double Delay = Usual.count() > 0
+                           ? HedgeFactor * static_cast<double>(Usual.count())
+                           : HedgeFactor / ObjectiveFactor *
+                                 static_cast<double>(Of.Objective_.count());
   return Duration(static_cast<Duration::rep>(Delay));
 }
 
 GatewayAttempt GatewayCore::start(GatewayRequest &Request, Service &Of,
-                                const TargetPick &Pick, bool IsResend,
-                                TimePoint Now) {
-  GatewayAttempt Order{Pick.Target_, Now, Pick.IsTrial_, IsResend, std::nullopt};
+                                  const TargetPick &Pick, bool IsResend,
+                                  TimePoint Now) {
+  GatewayAttempt Order{Pick.Target_, Now, Pick.IsTrial_, IsResend,
+                       std::nullopt};
   Of.Balancer_.attemptStarted(Pick.Target_.Id_, Now);
   Request.Tried_.insert(Pick.Target_.Id_);
   ++Request.InProgress_;
@@ -267,9 +270,8 @@
                              TimePoint Now) {
   Service &Of = serviceOf(Request->Service_);
   // Those that wait already go first, by the order of orderWaiting().
-  const Placement Placed = Of.Waiting_.empty()
-                               ? tryToPlace(*Request, Of, Now)
-                               : Placement(WaitsForRoom{});
+  const Placement Placed = Of.Waiting_.empty() ? tryToPlace(*Request, Of, Now)
+                                               : Placement(WaitsForRoom{});
   if (std::holds_alternative<WaitsForRoom>(Placed)) {
     Request->Waits_ = true;
     Of.Waiting_.push_back(Request);
@@ -285,7 +287,8 @@
     const VirtualRoute &By = *Each->Route_;
     const TimePoint Aim = Each->ArrivedAt_ + By.Objective_;
     const bool IsLate = Now + usualLatency(By) > Aim;
-    return std::make_tuple(IsLate, By.Priority_, IsLate ? Each->GiveUpAt_ : Aim);
+    return std::make_tuple(IsLate, By.Priority_,
+                           IsLate ? Each->GiveUpAt_ : Aim);
   };
   std::stable_sort(Of.Waiting_.begin(), Of.Waiting_.end(),
                    [&](const std::shared_ptr<GatewayRequest> &Left,
@@ -327,8 +330,8 @@
     IsFull = true;
     const double Ahead = static_cast<double>(Left.size());
     const double Wait = Ahead / std::max(1.0, Of.Balancer_.drainRate(Now));
-    const double Usual = std::chrono::duration<double>(
-                             usualLatency(*Each->Route_)).count();
+    const double Usual =
+        std::chrono::duration<double>(usualLatency(*Each->Route_)).count();
     const double TimeLeft =
         std::chrono::duration<double>(Each->GiveUpAt_ - Now).count();
     if (Wait + Usual / HopelessFactor > TimeLeft) {
@@ -359,7 +362,7 @@
 }
 
 std::optional<GatewayAttempt> GatewayCore::placeHedge(GatewayRequest &Request,
-                                                    TimePoint Now) {
+                                                      TimePoint Now) {
   Service &Of = serviceOf(Request.Service_);
   if (Request.IsHedged_ || !Request.Route_->Idempotent_ ||
       Request.Sent_ + Request.InProgress_ >= Request.Route_->MaxTargets_ ||
@@ -376,10 +379,10 @@
 }
 
 GatewayDecision GatewayCore::attemptEnded(GatewayRequest &Request,
-                                   const GatewayAttempt &Order,
-                                   AttemptOutcome Result,
-                                   std::optional<ReportedLoad> Load,
-                                   TimePoint Now) {
+                                          const GatewayAttempt &Order,
+                                          AttemptOutcome Result,
+                                          std::optional<ReportedLoad> Load,
+                                          TimePoint Now) {
   --Request.InProgress_;
   const AttemptEvidence Evidence = evidenceOf(Request, Order, Result, Now);
   TargetBalancer &Balancer = serviceOf(Request.Service_).Balancer_;
@@ -411,7 +414,8 @@
 }
 
 GatewayDecision GatewayCore::afterFailure(GatewayRequest &Request,
-                                   AttemptOutcome Result, TimePoint Now) {
+                                          AttemptOutcome Result,
+                                          TimePoint Now) {
   if (Request.InProgress_ > 0)
     return GatewayDecision{GatewayStep::Wait, {}, std::nullopt};
   const bool HasTime = Request.GiveUpAt_ - Now >= LeastResendTime;
@@ -421,14 +425,15 @@
         Request.Connecting_ <= MaxUnconnected)
       return GatewayDecision{GatewayStep::Resend, {}, std::nullopt};
     if (Request.Sent_ < Request.Route_->MaxTargets_ &&
-        serviceOf(Request.Service_).Budget_.take(resendTerms(Request.Service_), Now))
+        serviceOf(Request.Service_)
+            .Budget_.take(resendTerms(Request.Service_), Now))
       return GatewayDecision{GatewayStep::Resend, {}, std::nullopt};
   }
   if (Result == AttemptOutcome::Failure)
     return GatewayDecision{GatewayStep::Deliver, {}, std::nullopt};
   if (Result == AttemptOutcome::Broken)
     return GatewayDecision{GatewayStep::Fail,
-                    refuse(ResultCode::BackendBroken, std::nullopt),
+                           refuse(ResultCode::BackendBroken, std::nullopt),
                            std::nullopt};
   return GatewayDecision{GatewayStep::Fail, giveUp(Request), std::nullopt};
 }
@@ -438,8 +443,9 @@
     return refuse(ResultCode::BackendTimeout, std::nullopt);
   const TargetBalancer *Targets = balancer(Request.Service_);
   const Duration Room =
-      Targets ? std::max(LeastRetryAfter, Targets->expectedRoom(Request.ArrivedAt_))
-              : StateRetryAfter;
+      Targets
+          ? std::max(LeastRetryAfter, Targets->expectedRoom(Request.ArrivedAt_))
+          : StateRetryAfter;
   return refuse(ResultCode::BackendRefused, Room);
 }
 
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -41,9 +41,9 @@
 }
 
 Member selfOf(const GatewaySettings &From) {
-  return Member{From.Id_,     From.Address_, From.Domain_,
-                From.Region_, startTime(),   0,
-                MemberState::Starting};
+  return Member{
+      From.Id_, From.Address_,        From.Domain_, From.Region_, startTime(),
+      0,        MemberState::Starting};
 }
 
 GatewayTerms termsOf(const GatewaySettings &From) {
@@ -91,8 +91,8 @@
       Hosts.push_back(Endpoint{Each.Address_, Owner_.Settings_.Front_.Port_});
     if (Hosts.empty())
       return Exchange->answer(reject(ResultCode::NotReady));
-    Exchange->answer(Owner_.Platform_.addressAnswer(
-        Hosts, Owner_.Settings_.AddressKeep_));
+    Exchange->answer(
+        Owner_.Platform_.addressAnswer(Hosts, Owner_.Settings_.AddressKeep_));
   }
 
   HttpMessage reject(ResultCode Code) override {
@@ -124,8 +124,7 @@
   GatewayDaemon &Owner_;
 };
 
-GatewayDaemon::GatewayDaemon(GatewaySettings Settings,
-                             std::string SettingsFile,
+GatewayDaemon::GatewayDaemon(GatewaySettings Settings, std::string SettingsFile,
                              const GatewayPlatform &Platform)
     : Settings_(std::move(Settings)), SettingsFile_(std::move(SettingsFile)),
       Seeds_(Settings_.Seeds_), Platform_(Platform), Timers_(Context_),
@@ -159,7 +158,8 @@
                     Error.message());
   BOOST_LEAF_CHECK(
       FrontServer_.listen(Settings_.Front_, Settings_.MaxConnections_));
-  BOOST_LEAF_CHECK(ReadyServer_.listen(Settings_.Ready_, MaxServiceConnections));
+  BOOST_LEAF_CHECK(
+      ReadyServer_.listen(Settings_.Ready_, MaxServiceConnections));
   BOOST_LEAF_CHECK(
       DirectoryServer_.listen(Settings_.Directory_, MaxServiceConnections));
   if (Settings_.MetricsPort_ != 0)
@@ -185,9 +185,9 @@
                     [this](TimePoint) { checkSettings(false); });
   tick();
   Context_.run();
-  Log_.write(LogLevel::Info, "daemon", "stopped",
-             {{"requests_cut",
-               std::to_string(FrontServer_.requestsInProgress())}});
+  Log_.write(
+      LogLevel::Info, "daemon", "stopped",
+      {{"requests_cut", std::to_string(FrontServer_.requestsInProgress())}});
   Log_.flush();
   return {};
 }
@@ -337,10 +337,10 @@
   }
   if (Result.TargetsChanged_) {
     Core_.setTargets(Follower_.directory().entries(), Now);
-    Log_.write(LogLevel::Info, "targets", "changed",
-               {{"revision", std::to_string(Follower_.revision())},
-                {"targets",
-                 std::to_string(Follower_.directory().entries().size())}});
+    Log_.write(
+        LogLevel::Info, "targets", "changed",
+        {{"revision", std::to_string(Follower_.revision())},
+         {"targets", std::to_string(Follower_.directory().entries().size())}});
   }
   if (Result.PassOn_)
     passOn(*Result.PassOn_);
@@ -425,7 +425,7 @@
 }
 
 void GatewayDaemon::updateState() {
-  const MemberState State = StopBegan_ ? MemberState::Leaving
+  const MemberState State = StopBegan_             ? MemberState::Leaving
                             : Follower_.hasState() ? MemberState::Serving
                                                    : MemberState::Starting;
   send(Membership_.setState(State));
@@ -461,10 +461,10 @@
   if (StopBegan_)
     return;
   StopBegan_ = Timers_.now();
-  Log_.write(LogLevel::Info, "daemon", "stopping",
-             {{"in_progress",
-               std::to_string(FrontServer_.requestsInProgress())},
-              {"connections", std::to_string(FrontServer_.connections())}});
+  Log_.write(
+      LogLevel::Info, "daemon", "stopping",
+      {{"in_progress", std::to_string(FrontServer_.requestsInProgress())},
+       {"connections", std::to_string(FrontServer_.connections())}});
   updateState();
   FrontServer_.drain();
 }
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -130,8 +130,7 @@
   }
 
   void place() {
-    const Placement Placed =
-        Parts_.Core_.place(Request_, Parts_.Timers_.now());
+    const Placement Placed = Parts_.Core_.place(Request_, Parts_.Timers_.now());
     if (!std::holds_alternative<WaitsForRoom>(Placed))
       return placed(Placed);
     Front_.Waiting_.emplace(Request_.get(), shared_from_this());
@@ -264,8 +263,7 @@
         Outcome == AttemptOutcome::TimedOut ||
         Outcome == AttemptOutcome::NotConnected)
       Parts_.Client_.closeIdle(Order.Target_.Address_);
-    if (Outcome != AttemptOutcome::Success || Order.IsTrial_ ||
-        Order.IsResend_)
+    if (Outcome != AttemptOutcome::Success || Order.IsTrial_ || Order.IsResend_)
       logAttempt(Order, attemptOutcomeName(Outcome),
                  Result.End_ == CallEnd::Answered
                      ? "status " + std::to_string(Result.Answer_.Status_) +
@@ -280,8 +278,7 @@
 
   void logAttempt(const GatewayAttempt &Order, const char *Outcome,
                   const std::string &Detail) {
-    const TargetBalancer *Targets =
-        Parts_.Core_.balancer(Request_->Service_);
+    const TargetBalancer *Targets = Parts_.Core_.balancer(Request_->Service_);
     const TimePoint Now = Parts_.Timers_.now();
     Parts_.Log_.write(
         LogLevel::Info, "attempt", Outcome,
@@ -301,8 +298,8 @@
   void deliver(const HttpMessage &Answer, AttemptOutcome How) {
     finish();
     const bool IsFailure = How != AttemptOutcome::Success;
-    count(IsFailure ? ResultCode::BackendBroken : ResultCode::Ok,
-          Outcome::Ran, Answer.Status_);
+    count(IsFailure ? ResultCode::BackendBroken : ResultCode::Ok, Outcome::Ran,
+          Answer.Status_);
     if (IsFailure)
       logEnd("delivered_failure", Answer.Status_, ResultCode::Ok);
     Exchange_->answer(Answer);
@@ -341,11 +338,11 @@
          {"status", std::to_string(Status)},
          {"code", resultCodeName(Code)},
          {"sent", std::to_string(Request_ ? Request_->Sent_ : 0)},
-         {"ms", std::to_string(
-                    toMilliseconds(Parts_.Timers_.now() - ArrivedAt_))},
-         {"deadline_ms",
-          Head.TimeLeft_ ? std::to_string(toMilliseconds(*Head.TimeLeft_))
-                         : "none"}});
+         {"ms",
+          std::to_string(toMilliseconds(Parts_.Timers_.now() - ArrivedAt_))},
+         {"deadline_ms", Head.TimeLeft_
+                             ? std::to_string(toMilliseconds(*Head.TimeLeft_))
+                             : "none"}});
   }
 
   void timeIsUp() {
@@ -432,10 +429,9 @@
 void GatewayFront::handle(std::shared_ptr<HttpExchange> Exchange) {
   if (RefusesNew_) {
     Parts_.Metrics_.count("requests_refused_leaving");
-    return Exchange->answer(
-        ownAnswer(GatewayRefusal{ResultCode::HostLeaving,
-                                 httpStatus(ResultCode::HostLeaving),
-                                 LeavingRetryAfter}));
+    return Exchange->answer(ownAnswer(GatewayRefusal{
+        ResultCode::HostLeaving, httpStatus(ResultCode::HostLeaving),
+        LeavingRetryAfter}));
   }
   std::make_shared<GatewayFlow>(*this, std::move(Exchange))->start();
 }
--- a/src/gateway-settings.cc
+++ b/src/gateway-settings.cc
@@ -44,14 +44,14 @@
       Reader.decimal("terms", "resend_ratio", 0, 1, Read.ResendRatio_);
   Read.ResendSlack_ =
       Reader.decimal("terms", "resend_slack", 0, MaxSlack, Read.ResendSlack_);
-  Read.ResendWindow_ = secondsOf(Reader.decimal(
-      "terms", "resend_window_s", 1, MaxSeconds, asSeconds(Read.ResendWindow_)));
+  Read.ResendWindow_ =
+      secondsOf(Reader.decimal("terms", "resend_window_s", 1, MaxSeconds,
+                               asSeconds(Read.ResendWindow_)));
   const double MostKeep = Reader.decimal("terms", "address_keep_max_s", 0.1,
                                          MaxSeconds, MaxSeconds);
   Read.AddressKeep_ = std::min(Read.AddressKeep_, secondsOf(MostKeep));
-  Read.StopTime_ = secondsOf(Reader.decimal("terms", "stop_time_s", 0.1,
-                                            MaxSeconds,
-                                            asSeconds(Read.StopTime_)));
+  Read.StopTime_ = secondsOf(Reader.decimal(
+      "terms", "stop_time_s", 0.1, MaxSeconds, asSeconds(Read.StopTime_)));
   Read.LogLevel_ = Reader.level("log", "level");
   return Read;
 }
--- a/src/host-membership.cc
+++ b/src/host-membership.cc
@@ -67,10 +67,10 @@
   if (It == Peers_.end() && !News.isAlive())
     return false;
   Peer &Known = Peers_[News.Id_];
-  const bool Visible =
-      It == Peers_.end() || Known.Known_.State_ != News.State_ ||
-      Known.Known_.Incarnation_ != News.Incarnation_ ||
-      Known.Known_.Address_ != News.Address_;
+  const bool Visible = It == Peers_.end() ||
+                       Known.Known_.State_ != News.State_ ||
+                       Known.Known_.Incarnation_ != News.Incarnation_ ||
+                       Known.Known_.Address_ != News.Address_;
   Known.Known_ = News;
   Known.Missed_ = 0;
   if (!News.isAlive())
@@ -84,14 +84,21 @@
 void HostMembership::spread(const HostId &Id) { Spreading_[Id] = SpreadCount; }
 
 std::vector<Member> HostMembership::news() {
+  // What was carried least goes first.
+  std::vector<std::pair<std::uint32_t, HostId>> Order;
+  for (const std::pair<const HostId, std::uint32_t> &Each : Spreading_)
+    Order.emplace_back(Each.second, Each.first);
+  std::sort(Order.rbegin(), Order.rend());
+  if (Order.size() > MaxMembers)
+    Order.resize(MaxMembers);
   std::vector<Member> Carried;
-  for (std::map<HostId, std::uint32_t>::iterator It = Spreading_.begin();
-       It != Spreading_.end() && Carried.size() < MaxMembers;) {
-    const std::map<HostId, Peer>::const_iterator Known = Peers_.find(It->first);
+  for (const std::pair<std::uint32_t, HostId> &Each : Order) {
+    const std::map<HostId, Peer>::const_iterator Known =
+        Peers_.find(Each.second);
     if (Known != Peers_.end())
       Carried.push_back(Known->second.Known_);
-    It = Known == Peers_.end() || --It->second == 0 ? Spreading_.erase(It)
-                                                    : std::next(It);
+    if (Known == Peers_.end() || --Spreading_[Each.second] == 0)
+      Spreading_.erase(Each.second);
   }
   return Carried;
 }
@@ -137,8 +144,7 @@
     }
     // Nobody of that kind is left: the next round begins.
     for (const Member &Each : sample(Peers_.size() + 1))
-      if (Each.Id_ != Self_.Id_ &&
-          (Each.Domain_ != Self_.Domain_) == Foreign)
+      if (Each.Id_ != Self_.Id_ && (Each.Domain_ != Self_.Domain_) == Foreign)
         Round_.push_back(Each.Id_);
   }
   return std::nullopt;
@@ -221,8 +227,8 @@
   return Out;
 }
 
-std::vector<OutgoingProbe>
-HostMembership::receive(const ProbeMessage &Message, TimePoint Now) {
+std::vector<OutgoingProbe> HostMembership::receive(const ProbeMessage &Message,
+                                                   TimePoint Now) {
   std::vector<OutgoingProbe> Out;
   if (Message.From_.Id_ == Self_.Id_)
     return Out;
@@ -245,17 +251,19 @@
     const std::vector<Member> All = members();
     for (std::size_t First = 0; First < All.size(); First += MaxMembers) {
       ProbeMessage Part{Self_, true, false, digest(), {}};
-      Part.Members_.assign(
-          All.begin() + static_cast<std::ptrdiff_t>(First),
-          All.begin() + static_cast<std::ptrdiff_t>(
-                            std::min(All.size(), First + MaxMembers)));
+      Part.Members_.assign(All.begin() + static_cast<std::ptrdiff_t>(First),
+                           All.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                             All.size(), First + MaxMembers)));
       Out.push_back({Message.From_.Address_, std::move(Part)});
     }
     return Out;
   }
   ProbeMessage Answer = message(true);
-  if (Answer.Digest_ != Message.Digest_ && Answer.Members_.empty())
-    Answer.Members_ = sample(MaxMembers / 2);
+  // The two know different things: some of them are told, by chance.
+  if (Answer.Digest_ != Message.Digest_)
+    for (const Member &Each : sample(MaxMembers / 2))
+      if (Answer.Members_.size() < MaxMembers)
+        Answer.Members_.push_back(Each);
   Out.push_back({Message.From_.Address_, std::move(Answer)});
   return Out;
 }
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -55,9 +55,8 @@
     Terms_ = Terms;
     Request_ = std::move(Request);
     OnEnd_ = std::move(OnEnd);
-    Parser_ = std::make_unique<MessageParser>(MessageParser::Kind::Answer,
-                                              MaxAnswerHeadBytes,
-                                              Terms.MaxAnswerBytes_);
+    Parser_ = std::make_unique<MessageParser>(
+        MessageParser::Kind::Answer, MaxAnswerHeadBytes, Terms.MaxAnswerBytes_);
     IsSent_ = false;
     HasAnswerBytes_ = false;
     IsWritten_ = false;
@@ -196,9 +195,9 @@
   bool completedOrPassedOver(std::string_view Rest) {
     const HttpMessage &Answer = Parser_->message();
     constexpr int FirstFinalStatus = 200;
-    const std::string *Echo =
-        Terms_.EchoHeader_.empty() ? nullptr
-                                   : Answer.header(Terms_.EchoHeader_);
+    const std::string *Echo = Terms_.EchoHeader_.empty()
+                                  ? nullptr
+                                  : Answer.header(Terms_.EchoHeader_);
     if (Answer.Status_ < FirstFinalStatus || (Echo && *Echo != Terms_.Echo_)) {
       Parser_->take();
       return false;
@@ -270,8 +269,9 @@
 
 std::shared_ptr<HttpClientConnection>
 HttpClient::takeIdle(const CallTerms &Terms) {
-  const std::map<Endpoint, std::list<std::shared_ptr<HttpClientConnection>>>::
-      iterator It = Idle_.find(Terms.At_);
+  const std::map<
+      Endpoint, std::list<std::shared_ptr<HttpClientConnection>>>::iterator It =
+      Idle_.find(Terms.At_);
   if (It == Idle_.end())
     return nullptr;
   std::shared_ptr<HttpClientConnection> Found;
@@ -303,8 +303,9 @@
 }
 
 void HttpClient::forget(const HttpClientConnection *Idle) {
-  const std::map<Endpoint, std::list<std::shared_ptr<HttpClientConnection>>>::
-      iterator It = Idle_.find(Idle->at());
+  const std::map<
+      Endpoint, std::list<std::shared_ptr<HttpClientConnection>>>::iterator It =
+      Idle_.find(Idle->at());
   if (It == Idle_.end())
     return;
   It->second.remove_if(
@@ -316,8 +317,9 @@
 }
 
 void HttpClient::closeIdle(const Endpoint &At) {
-  const std::map<Endpoint, std::list<std::shared_ptr<HttpClientConnection>>>::
-      iterator It = Idle_.find(At);
+  const std::map<
+      Endpoint, std::list<std::shared_ptr<HttpClientConnection>>>::iterator It =
+      Idle_.find(At);
   if (It == Idle_.end())
     return;
   for (const std::shared_ptr<HttpClientConnection> &Each : It->second)
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -197,8 +197,8 @@
       const std::shared_ptr<Exchange> First = Waiting_.front();
       Waiting_.pop_front();
       const bool Last =
-          Waiting_.empty() && (TakesNoMore_ || IsClosing_ ||
-                               Server_.IsDraining_ || IsRejected_);
+          Waiting_.empty() &&
+          (TakesNoMore_ || IsClosing_ || Server_.IsDraining_ || IsRejected_);
       const bool OmitBody = First->request().Method_ == "HEAD";
       Outgoing_.append(writeAnswer(*First->ready(), Last, OmitBody));
       EndsAfterWrite_ = Last;
@@ -285,7 +285,7 @@
   std::array<char, ReadBytes> Buffer_;
   std::string Pending_; ///< Read and not parsed yet.
   std::string Outgoing_;
-  std::string Written_; ///< Being written.
+  std::string Written_;                           ///< Being written.
   std::deque<std::shared_ptr<Exchange>> Waiting_; ///< At most MaxPipelined + 1.
   bool IsReading_ = false;
   bool IsWriting_ = false;
@@ -333,27 +333,27 @@
 }
 
 void HttpServer::accept() {
-  Acceptor_.async_accept([this](const asio::error_code &Error,
-                                asio::ip::tcp::socket Socket) {
-    if (!Acceptor_.is_open())
-      return;
-    if (Error) {
-      // Out of descriptors, for example: the callers wait in the socket.
-      RetryTimer_.expires_after(AcceptPause);
-      RetryTimer_.async_wait([this](const asio::error_code &Cancelled) {
-        if (!Cancelled && Acceptor_.is_open())
-          accept();
+  Acceptor_.async_accept(
+      [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
+        if (!Acceptor_.is_open())
+          return;
+        if (Error) {
+          // Out of descriptors, for example: the callers wait in the socket.
+          RetryTimer_.expires_after(AcceptPause);
+          RetryTimer_.async_wait([this](const asio::error_code &Cancelled) {
+            if (!Cancelled && Acceptor_.is_open())
+              accept();
+          });
+          return;
+        }
+        if (Sessions_.size() < MaxConnections_) {
+          const std::shared_ptr<HttpSession> New =
+              std::make_shared<HttpSession>(*this, std::move(Socket));
+          Sessions_.insert(New);
+          New->start();
+        }
+        accept();
       });
-      return;
-    }
-    if (Sessions_.size() < MaxConnections_) {
-      const std::shared_ptr<HttpSession> New =
-          std::make_shared<HttpSession>(*this, std::move(Socket));
-      Sessions_.insert(New);
-      New->start();
-    }
-    accept();
-  });
 }
 
 void HttpServer::drain() {
--- a/src/routing-config.cc
+++ b/src/routing-config.cc
@@ -17,11 +17,11 @@
 }
 
 const VirtualRoute *RouteTable::find(std::string_view Host,
-                              std::string_view Path) const {
+                                     std::string_view Path) const {
   std::size_t Slash = Path.rfind('/');
   while (Slash != std::string_view::npos) {
-    const std::unordered_map<std::string, const VirtualRoute *>::const_iterator It =
-        ByPrefix_.find(keyOf(Host, Path.substr(0, Slash + 1)));
+    const std::unordered_map<std::string, const VirtualRoute *>::const_iterator
+        It = ByPrefix_.find(keyOf(Host, Path.substr(0, Slash + 1)));
     if (It != ByPrefix_.end())
       return It->second;
     if (Slash == 0)
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -22,8 +22,7 @@
   return "unknown";
 }
 
-std::optional<ReadOrder> StoreFollower::due(std::uint32_t Rank,
-                                            TimePoint Now) {
+std::optional<ReadOrder> StoreFollower::due(std::uint32_t Rank, TimePoint Now) {
   if (InProgress_ || Now < PausedUntil_)
     return std::nullopt;
   const Duration Patience =
@@ -106,8 +105,7 @@
   ConfigRevision_ = std::max(ConfigRevision_, Config.Revision_);
   if (!Config.Table_)
     return;
-  if (Table_ &&
-      Config.Table_->config().Version_ <= Table_->config().Version_)
+  if (Table_ && Config.Table_->config().Version_ <= Table_->config().Version_)
     return;
   Table_ = Config.Table_;
   Out.NewTable_ = Table_;
@@ -151,8 +149,8 @@
 
 std::uint32_t readerRank(const Member &Self, const std::vector<Member> &All) {
   const auto Key = [](const Member &Of) {
-    return std::make_tuple(XXH3_64bits(Of.Id_.str().data(), Of.Id_.str().size()),
-                           Of.Id_);
+    return std::make_tuple(
+        XXH3_64bits(Of.Id_.str().data(), Of.Id_.str().size()), Of.Id_);
   };
   return static_cast<std::uint32_t>(
       std::count_if(All.begin(), All.end(), [&](const Member &Each) {
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -177,14 +177,14 @@
   for (const std::pair<const TargetId, State> &Each : States_) {
     const State &Seen = Each.second;
     const std::size_t Own = Seen.Running_.size();
-    Text += std::to_string(Own) + "+" +
-            std::to_string(std::lround(load(Seen, Now) -
-                                       static_cast<double>(Own)));
-    Text += Seen.Entry_.Leaving_     ? "l"
-            : Seen.Ejected_          ? "e"
-            : Seen.Failures_ > 0     ? "p"
+    Text +=
+        std::to_string(Own) + "+" +
+        std::to_string(std::lround(load(Seen, Now) - static_cast<double>(Own)));
+    Text += Seen.Entry_.Leaving_        ? "l"
+            : Seen.Ejected_             ? "e"
+            : Seen.Failures_ > 0        ? "p"
             : Now < Seen.RefusingUntil_ ? "f"
-                                     : "";
+                                        : "";
     Text += Seen.Entry_.Domain_ == OwnDomain_ ? "o " : " ";
   }
   return Text;
@@ -205,7 +205,8 @@
 }
 
 void TargetBalancer::rate(State &Each, bool Served, TimePoint Now) {
-  const double Kept = std::exp(-seconds(Now - Each.RatedAt_) / RateDecaySeconds);
+  const double Kept =
+      std::exp(-seconds(Now - Each.RatedAt_) / RateDecaySeconds);
   Each.RatedAt_ = Now;
   Each.Served_ = Each.Served_ * Kept + (Served ? 1 : 0);
   Each.Unserved_ = Each.Unserved_ * Kept + (Served ? 0 : 1);
@@ -238,8 +239,8 @@
     if (!Oldest || Seen.TriedAt_ < Oldest->TriedAt_)
       Oldest = &Seen;
   }
-  const double Most = (1 - FloorShare_ - FloorMargin) *
-                      static_cast<double>(States_.size());
+  const double Most =
+      (1 - FloorShare_ - FloorMargin) * static_cast<double>(States_.size());
   return static_cast<double>(Unused) > Most ? Oldest : nullptr;
 }
 
@@ -284,8 +285,7 @@
     if ((mayTry(Seen, Terms, Now) || &Seen == ForFloor) &&
         (!Trial || Seen.TriedAt_ < Trial->TriedAt_))
       Trial = &Seen;
-    const bool IsUseful =
-        IsCrowded_ && servedShare(Seen) >= UsefulServedShare;
+    const bool IsUseful = IsCrowded_ && servedShare(Seen) >= UsefulServedShare;
     if (!hasRoom(Seen, Now) || (Seen.Ejected_ && !IsUseful))
       continue;
     const double Slowness = slowness(Seen, Now);
--- /dev/null
+++ b/test/gateway-settings-test.cc
@@ -0,0 +1,85 @@
+// Settings of a gateway host, and the template that the platform fills in.
+
+#include "kumquatpitch/gateway-settings.h"
+#include "kumquatpitch/settings.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+static std::string replacedAll(std::string Text, const std::string &From,
+                               const std::string &To) {
+  for (std::size_t At = Text.find(From); At != std::string::npos;
+       At = Text.find(From, At + To.size()))
+    Text.replace(At, From.size(), To);
+  return Text;
+}
+
+/// The template with example values.
+static std::string filled() {
+  const std::string File =
+      std::string(KUMQUATPITCH_SOURCE_DIR) + "/deploy/gateway.ini";
+  std::string Text = handleFailure(
+      [&]() -> Result<std::string> { return readFile(File, 100'000); },
+      [](const Failure &) { return std::string(); });
+  const std::pair<const char *, const char *> Values[] = {
+      {"{{NodeName}}", "edge-ikeja-1"},
+      {"{{Region}}", "lagos-west"},
+      {"{{Zone}}", "ikeja"},
+      {"{{Ip}}", "10.1.0.18"},
+      {"{{Listen.Front}}", "10.1.0.18:8381"},
+      {"{{Listen.Ready}}", "10.1.0.18:8388"},
+      {"{{Listen.Directory}}", "10.1.0.18:8383"},
+      {"{{PortRange.0}}", "7200"},
+      {"{{Seeds}}", "10.1.0.18:8382,10.2.0.34:8382"},
+      {"{{Provider.Address}}", "10.200.1.7:8384"},
+      {"{{Bounds.FloorShare}}", "0.7"},
+      {"{{Bounds.RetryRatio}}", "0.2"},
+      {"{{Bounds.RetrySlack}}", "64"},
+      {"{{Bounds.RetryWindowS}}", "10"},
+      {"{{Bounds.ttl_max_s}}", "5"},
+      {"{{Bounds.GraceS}}", "6"}};
+  for (const std::pair<const char *, const char *> &Each : Values)
+    Text = replacedAll(Text, Each.first, Each.second);
+  return Text;
+}
+
+static std::string problemOf(const std::string &Text) {
+  return handleFailure(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(parseGatewaySettings(Text, "a.ini"));
+        return std::string("none");
+      },
+      [](const Failure &Cause) { return Cause.Message_; });
+}
+
+TEST_GROUP(GatewaySettings){};
+
+TEST(GatewaySettings, TheTemplateGivesValidSettings) {
+  const std::string Text = filled();
+  CHECK_EQUAL(std::string("none"), problemOf(Text));
+  CHECK(Text.find("{{") == std::string::npos);
+}
+
+TEST(GatewaySettings, DefectsAreNamedWithTheirPlace) {
+  CHECK(problemOf(replacedAll(filled(), "10.1.0.18:8381", "here"))
+            .find("section [listen], key front") != std::string::npos);
+  CHECK(problemOf(replacedAll(filled(), "floor_share = 0.7", "floor_share = 7"))
+            .find("section [terms], key floor_share") != std::string::npos);
+  CHECK(problemOf(filled() + "\n[terms]\nfloor = 1\n")
+            .find("is not a known section and key") != std::string::npos);
+}
+
+TEST(GatewaySettings, AddressAnswersAreKeptNoLongerThanAllowed) {
+  const std::string Short = replacedAll(filled(), "address_keep_max_s = 5",
+                                        "address_keep_max_s = 0.5");
+  const Duration Keep = handleFailure(
+      [&]() -> Result<Duration> {
+        BOOST_LEAF_AUTO(Read, parseGatewaySettings(Short, "a.ini"));
+        return Read.AddressKeep_;
+      },
+      [](const Failure &) { return Duration::zero(); });
+  CHECK(Keep == std::chrono::milliseconds(500));
+}
--- /dev/null
+++ b/test/message-parser-test.cc
@@ -0,0 +1,101 @@
+// HTTP messages from a byte stream.
+
+#include "kumquatpitch/message-parser.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+using Kind = MessageParser::Kind;
+using ParseState = MessageParser::State;
+
+static constexpr std::uint64_t HeadLimit = 200;
+static constexpr std::uint64_t BodyLimit = 50;
+
+TEST_GROUP(MessageParser) {
+  MessageParser Requests_{Kind::Request, HeadLimit, BodyLimit};
+  MessageParser Answers_{Kind::Answer, HeadLimit, BodyLimit};
+};
+
+TEST(MessageParser, PipelinedRequestsAreToldApart) {
+  const std::string Bytes = "GET /a?b=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                            "POST /c HTTP/1.1\r\nHost: h\r\n"
+                            "Content-Length: 3\r\n\r\nxyz";
+  const std::size_t Taken = Requests_.feed(Bytes);
+  CHECK(Requests_.state() == ParseState::Complete);
+  CHECK_EQUAL(std::string("/a?b=1"), Requests_.take().Target_);
+  CHECK_EQUAL(Bytes.size(), Taken + Requests_.feed(Bytes.substr(Taken)));
+  const HttpMessage Second = Requests_.take();
+  CHECK_EQUAL(std::string("POST"), Second.Method_);
+  CHECK_EQUAL(std::string("xyz"), Second.Body_);
+}
+
+TEST(MessageParser, BytesMayArriveOneByOne) {
+  const std::string Bytes = "POST /c HTTP/1.1\r\nHost: h\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+  for (const char Each : Bytes)
+    Requests_.feed(std::string_view(&Each, 1));
+  CHECK(Requests_.state() == ParseState::Complete);
+  CHECK_EQUAL(std::string("abc"), Requests_.take().Body_);
+}
+
+TEST(MessageParser, LimitsAreKept) {
+  Requests_.feed("GET /" + std::string(300, 'a') + " HTTP/1.1\r\n");
+  CHECK(Requests_.state() == ParseState::Rejected);
+  CHECK(Requests_.code() == ResultCode::RequestHeadTooLarge);
+  MessageParser Long(Kind::Request, HeadLimit, BodyLimit);
+  Long.feed("POST / HTTP/1.1\r\nContent-Length: 51\r\n\r\n");
+  CHECK(Long.code() == ResultCode::RequestBodyTooLarge);
+  MessageParser Chunked(Kind::Request, HeadLimit, BodyLimit);
+  Chunked.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n33\r\n" +
+               std::string(51, 'a'));
+  CHECK(Chunked.code() == ResultCode::RequestBodyTooLarge);
+}
+
+// Guards against request smuggling: two readers must not disagree on the
+// length.
+TEST(MessageParser, TwoLengthsAreRefused) {
+  Requests_.feed("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  CHECK(Requests_.state() == ParseState::Rejected);
+  MessageParser Doubled(Kind::Request, HeadLimit, BodyLimit);
+  Doubled.feed("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+               "Content-Length: 4\r\n\r\nabcd");
+  CHECK(Doubled.state() == ParseState::Rejected);
+}
+
+TEST(MessageParser, AnswersWithoutALengthEndWithTheStream) {
+  Answers_.feed("HTTP/1.1 200 OK\r\n\r\nwhole");
+  CHECK(Answers_.state() == ParseState::Body);
+  Answers_.finish();
+  CHECK(Answers_.state() == ParseState::Complete);
+  CHECK_EQUAL(std::string("whole"), Answers_.message().Body_);
+}
+
+// Guards against a cut answer that looks complete.
+TEST(MessageParser, CutAnswersAreNotComplete) {
+  Answers_.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut");
+  Answers_.finish();
+  CHECK(Answers_.state() == ParseState::Rejected);
+  MessageParser Chunked(Kind::Answer, HeadLimit, BodyLimit);
+  Chunked.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "3\r\ncut\r\n");
+  Chunked.finish();
+  CHECK(Chunked.state() == ParseState::Rejected);
+}
+
+TEST(MessageParser, ConnectionHeadersAreNotPassedOn) {
+  HttpMessage Message;
+  Message.Method_ = "POST";
+  Message.Target_ = "/a";
+  Message.Headers_ = {{"Host", "h"},
+                      {"Connection", "X-Own"},
+                      {"X-Own", "1"},
+                      {"Content-Length", "9"},
+                      {"Expect", "100-continue"}};
+  Message.Body_ = "xy";
+  CHECK_EQUAL(std::string("POST /a HTTP/1.1\r\nHost: h\r\n"
+                          "Content-Length: 2\r\n\r\nxy"),
+              writeRequest(Message));
+}
--- /dev/null
+++ b/test/peer-datagram-test.cc
@@ -0,0 +1,92 @@
+// Datagrams between hosts: what is sent arrives, and garbage is refused.
+
+#include "kumquatpitch/peer-datagram.h"
+
+#include "manual-time.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+static std::optional<PeerDatagram> decoded(const std::string &Bytes) {
+  return handleFailure(
+      [&]() -> Result<std::optional<PeerDatagram>> {
+        BOOST_LEAF_AUTO(Read, decodeDatagram(Bytes));
+        return std::optional<PeerDatagram>(Read);
+      },
+      [](const Failure &) { return std::optional<PeerDatagram>(); });
+}
+
+static ProgressMessage progress(std::size_t Changes) {
+  ProgressMessage Made{HostId("edge-ikeja-1"), 100, 500, 40, {}};
+  for (std::size_t Index = 0; Index < Changes; ++Index) {
+    TargetEntry Entry;
+    Entry.Id_ = TargetId("i-0123456789" + std::to_string(Index));
+    Entry.Service_ = ServiceName("nuptial-desk");
+    Entry.Address_ = Endpoint{"10.128.100.100", 8'080};
+    Entry.Domain_ = FailureDomain("nyarugenge");
+    Entry.StartedUnixMs_ = 1'767'280'437'058;
+    Entry.ColdFor_ = ms(2'500);
+    Made.Targets_.push_back(TargetChange{Entry.Id_, 101 + Index, Entry});
+  }
+  return Made;
+}
+
+TEST_GROUP(PeerDatagram){};
+
+TEST(PeerDatagram, EveryKindArrivesAsSent) {
+  const Member Self{HostId("h"),         "10.0.0.1", FailureDomain("yaba"),
+                    Region("lagos"),     5,          2,
+                    MemberState::Leaving};
+  ProgressMessage Progress = progress(2);
+  Progress.Targets_.push_back(
+      TargetChange{TargetId("gone"), 400, std::nullopt});
+  for (const PeerDatagram &Sent :
+       {PeerDatagram(ProbeMessage{Self, true, false, 77, {Self, Self}}),
+        PeerDatagram(Progress),
+        PeerDatagram(EvidenceMessage{ServiceName("s"), TargetId("t"), 9,
+                                     TargetNews::Doubtful, true})}) {
+    const std::optional<PeerDatagram> Read = decoded(encodeDatagram(Sent));
+    CHECK(Read.has_value());
+    CHECK(*Read == Sent);
+  }
+}
+
+// Guards against a crash or a wrong belief by foreign or cut datagrams.
+TEST(PeerDatagram, CutAndForeignBytesAreRefused) {
+  const std::string Whole = encodeDatagram(progress(1));
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size)
+    CHECK_FALSE(decoded(Whole.substr(0, Size)).has_value());
+  CHECK_FALSE(decoded("GET / HTTP/1.1\r\n\r\n").has_value());
+  CHECK_FALSE(decoded(std::string("\x81\x09", 2)).has_value());
+}
+
+// Guards against changes that do not fit into one packet and are never heard.
+TEST(PeerDatagram, LongProgressIsDividedWithoutGaps) {
+  const ProgressMessage Whole = progress(45);
+  const std::vector<ProgressMessage> Parts = splitProgress(Whole);
+  std::uint64_t After = Whole.After_;
+  std::size_t Changes = 0;
+  for (const ProgressMessage &Each : Parts) {
+    CHECK(encodeDatagram(Each).size() <= MaxDatagramBytes);
+    CHECK_EQUAL(After, Each.After_);
+    After = Each.Revision_;
+    Changes += Each.Targets_.size();
+  }
+  CHECK_EQUAL(Whole.Revision_, After);
+  CHECK_EQUAL(45, Changes);
+}
+
+TEST(PeerDatagram, FullProbeFitsIntoAPacket) {
+  ProbeMessage Probe;
+  Probe.From_ = Member{HostId("edge-nyarugenge-100"),
+                       "10.128.100.100",
+                       FailureDomain("nyarugenge"),
+                       Region("kigali"),
+                       1'767'280'437'058,
+                       3,
+                       MemberState::Serving};
+  Probe.Members_.assign(16, Probe.From_);
+  CHECK(encodeDatagram(Probe).size() <= MaxDatagramBytes);
+}
--- /dev/null
+++ b/test/store-decoder-test.cc
@@ -0,0 +1,153 @@
+// What the platform's store holds, decoded; entries of other writers included.
+
+#include "platform/platform-adapter.h"
+#include "platform/store-decoder.h"
+
+#include "manual-time.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+static const std::string TargetText =
+    R"({"Address":"10.128.0.9:8080","Info":{"Service":"desk","Version":"v1",)"
+    R"("Zone":"ikeja","Slots":3},"Status":{"State":"ready","Seq":4,)"
+    R"("ColdLeftS":1.5},"born":1767280437058,"New":[1]})";
+
+static const std::string ConfigText =
+    R"({"Version":"0000001c","Limits":{"MaxHeaderBytes":16384,)"
+    R"("MaxBodyBytes":67108864,"HeaderTimeoutS":3,"IdleTimeoutS":15},)"
+    R"("Listeners":[{"Host":"h.example","Policy":[{"Name":"r","Kind":)"
+    R"("idempotent","GoalS":1,"Priority":2,"Match":{"Prefix":"/a/"},)"
+    R"("Action":{"TrafficSplit":[{"Service":"x","Weight":90},)"
+    R"({"Service":"y","Weight":10}],"TimeoutS":2.5,"Attempts":2}}]}],)"
+    R"("Clusters":[{"Name":"x","HealthPath":"/healthz","MaxConns":390}]})";
+
+static std::string replaced(std::string Text, const std::string &From,
+                            const std::string &To) {
+  const std::size_t At = Text.find(From);
+  CHECK(At != std::string::npos);
+  return Text.replace(At, From.size(), To);
+}
+
+TEST_GROUP(StoreDecoder){};
+
+TEST(StoreDecoder, TargetIsRead) {
+  const std::optional<TargetEntry> Read =
+      decodeTarget(TargetId("i-1"), TargetText);
+  CHECK(Read.has_value());
+  CHECK(Read->Id_ == TargetId("i-1"));
+  CHECK(Read->Address_ == (Endpoint{"10.128.0.9", 8'080}));
+  CHECK(Read->Domain_ == FailureDomain("ikeja"));
+  CHECK_EQUAL(3, Read->Slots_);
+  CHECK_EQUAL(1'767'280'437'058U, Read->StartedUnixMs_);
+  CHECK(Read->ColdFor_ == ms(1'500));
+  CHECK_FALSE(Read->Leaving_);
+  CHECK(decodeTarget(TargetId("i-1"), replaced(TargetText, "ready", "draining"))
+            ->Leaving_);
+}
+
+// Guards against work being sent where an entry of another writer points.
+TEST(StoreDecoder, EntriesOfOtherWritersNameNoTarget) {
+  const std::pair<const char *, const char *> Defects[] = {
+      {R"("Slots":3)", R"("Slots":"3")"},
+      {R"("Slots":3)", R"("Slots":0)"},
+      {R"("Seq":4)", R"("Seq":-4)"},
+      {R"("State":"ready")", R"("State":"resting")"},
+      {R"("State":"ready",)", ""},
+      {R"("Zone":"ikeja")", R"("Zone":7)"},
+      {R"("ColdLeftS":1.5)", R"("ColdLeftS":"soon")"},
+      {R"(10.128.0.9:8080)", R"(10.128.0.9)"},
+      {R"("born":1767280437058)", R"("born":1767280437058.5)"},
+      {R"("Service":"desk")", R"("Service":null)"}};
+  for (const std::pair<const char *, const char *> &Each : Defects)
+    CHECK_FALSE(decodeTarget(TargetId("i-1"),
+                             replaced(TargetText, Each.first, Each.second))
+                    .has_value());
+  CHECK_FALSE(decodeTarget(TargetId("i-1"), "\xff\x00 no JSON").has_value());
+}
+
+TEST(StoreDecoder, ConfigurationIsRead) {
+  std::string Problem;
+  const std::shared_ptr<const RouteTable> Read =
+      decodeConfig(ConfigText, Problem);
+  CHECK(Read != nullptr);
+  CHECK_EQUAL(0x1cU, Read->config().Version_);
+  const VirtualRoute *Route = Read->find("h.example", "/a/b");
+  CHECK(Route != nullptr);
+  CHECK(Route->Idempotent_);
+  CHECK(Route->Timeout_ == ms(2'500));
+  CHECK(Route->Objective_ == ms(1'000));
+  CHECK_EQUAL(2, Route->MaxTargets_);
+  CHECK_EQUAL(90, Route->Shares_.front().Weight_);
+  CHECK(Read->config().Limits_.IdleTimeout_ == ms(15'000));
+}
+
+// Guards against a kind that is not known being repeated.
+TEST(StoreDecoder, UnknownKindsRunAtMostOnce) {
+  std::string Problem;
+  CHECK_FALSE(
+      decodeConfig(replaced(ConfigText, R"("idempotent")", R"("novel")"),
+                   Problem)
+          ->find("h.example", "/a/b")
+          ->Idempotent_);
+}
+
+// Guards against an unreadable configuration replacing a good one.
+TEST(StoreDecoder, UnreadableConfigurationIsLeftOut) {
+  for (const char *Text : {"{}", "", "[1]", R"({"Version":"zz"})"}) {
+    std::string Problem;
+    CHECK(decodeConfig(Text, Problem) == nullptr);
+    CHECK_FALSE(Problem.empty());
+  }
+}
+
+TEST(StoreDecoder, ChangesAndRemovalsAreRead) {
+  // The value is base64 of a text that names no target.
+  const std::string Body =
+      R"({"events":[{"Key":"servers/i-1","Value":"bm9kZS0x","Revision":412,)"
+      R"("Created":412,"Lease":1},{"Key":"servers/i-2","Revision":413,)"
+      R"("Removed":true},{"Key":"else","Value":"!","Revision":414}],"AsOf":420})";
+  PublishedRead Read;
+  Read.Status_ = ReadStatus::Ok;
+  decodeChanges(Body, Read);
+  CHECK(Read.Status_ == ReadStatus::Ok);
+  CHECK_EQUAL(420, Read.Revision_);
+  CHECK_EQUAL(2, Read.Targets_.size());
+  CHECK_FALSE(Read.Targets_[0].Entry_.has_value());
+  CHECK(Read.Targets_[1].Id_ == TargetId("i-2"));
+  decodeChanges("{", Read);
+  CHECK(Read.Status_ == ReadStatus::Failed);
+}
+
+TEST(StoreDecoder, PagesContinueAfterTheirLastKey) {
+  PublishedRead Read;
+  Read.Status_ = ReadStatus::Ok;
+  const std::optional<std::string> Next = decodePage(
+      R"({"items":[{"Key":"servers/a","Value":"e30=","Revision":3}],)"
+      R"("HasMore":true,"AsOf":10})",
+      Read);
+  CHECK(Next == std::optional<std::string>("servers/a"));
+  CHECK_FALSE(decodePage(R"({"items":[],"HasMore":false,"AsOf":12})", Read)
+                  .has_value());
+  // Changes between the pages are read again.
+  CHECK_EQUAL(10, Read.Revision_);
+}
+
+TEST_GROUP(PlatformAdapter) { const PlatformAdapter Adapter_; };
+
+TEST(PlatformAdapter, AddressCallIsReadAndAnswered) {
+  HttpMessage Call;
+  Call.Method_ = "GET";
+  Call.Target_ = "/resolve?Name=h.example&Region=lagos-west&Zone=ikeja";
+  CHECK(Adapter_.addressQuestion(Call) ==
+        (AddressQuestion{"h.example", Region("lagos-west"),
+                         FailureDomain("ikeja")}));
+  const HttpMessage Answer =
+      Adapter_.addressAnswer({Endpoint{"10.1.0.18", 8'381}}, ms(2'000));
+  CHECK_EQUAL(std::string(R"({"Addresses":["10.1.0.18:8381"],"TtlS":2.0})"),
+              Answer.Body_);
+  Call.Target_ = "/other";
+  CHECK_FALSE(Adapter_.addressQuestion(Call).has_value());
+}
--- /dev/null
+++ b/test/store-follower-test.cc
@@ -0,0 +1,175 @@
+// Following the published state: who reads when, and what is passed on.
+
+#include "kumquatpitch/store-follower.h"
+
+#include "manual-time.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+static TargetChange change(const char *Id, std::uint64_t Revision,
+                           bool Leaving = false) {
+  TargetEntry Entry;
+  Entry.Id_ = TargetId(Id);
+  Entry.Service_ = ServiceName("desk");
+  Entry.Leaving_ = Leaving;
+  return TargetChange{TargetId(Id), Revision, Entry};
+}
+
+static std::shared_ptr<const RouteTable> table(std::uint64_t Version) {
+  RoutingConfig Config;
+  Config.Version_ = Version;
+  return std::make_shared<const RouteTable>(Config);
+}
+
+TEST_GROUP(StoreFollower) {
+  StoreFollower Follower_{HostId("h1")};
+
+  PublishedRead read(std::uint64_t Revision,
+                     std::vector<TargetChange> Targets = {}) {
+    PublishedRead Read;
+    Read.Status_ = ReadStatus::Ok;
+    Read.Revision_ = Revision;
+    Read.Targets_ = std::move(Targets);
+    return Read;
+  }
+
+  void list(std::int64_t At) {
+    Follower_.due(0, atMs(At));
+    PublishedRead All = read(10, {change("a", 5), change("b", 6)});
+    All.Config_ = PublishedConfig{4, table(7)};
+    Follower_.readEnded(All, atMs(At));
+  }
+};
+
+TEST(StoreFollower, ListsFirst) {
+  CHECK(Follower_.due(5, atMs(0))->What_ == ReadOrder::Kind::All);
+  CHECK_FALSE(Follower_.hasState());
+  list(0);
+  CHECK(Follower_.hasState());
+  CHECK_EQUAL(2, Follower_.directory().entries().size());
+}
+
+// Guards against every host polling the store, each call of which is paid.
+TEST(StoreFollower, HostsReadInTheirOrder) {
+  list(0);
+  CHECK_FALSE(Follower_.due(0, atMs(600)).has_value());
+  CHECK_FALSE(Follower_.due(1, atMs(800)).has_value());
+  CHECK(Follower_.due(0, atMs(800)) ==
+        (ReadOrder{ReadOrder::Kind::Changes, 10}));
+}
+
+TEST(StoreFollower, HearingFromTheReaderIsEnough) {
+  list(0);
+  Follower_.receive(ProgressMessage{HostId("h0"), 10, 12, 4, {}}, atMs(700));
+  CHECK_FALSE(Follower_.due(3, atMs(1'400)).has_value());
+  CHECK(Follower_.due(3, atMs(2'200)).has_value());
+}
+
+// Guards against a departure that gets lost with a datagram.
+TEST(StoreFollower, GapsAreReadAtOnce) {
+  list(0);
+  const ProgressMessage Later{HostId("h0"), 14, 16, 4, {change("a", 15, true)}};
+  CHECK(Follower_.receive(Later, atMs(100)).TargetsChanged_);
+  CHECK(Follower_.due(3, atMs(101)) ==
+        (ReadOrder{ReadOrder::Kind::Changes, 10}));
+}
+
+// Guards against an older change that arrives late undoing a newer one.
+TEST(StoreFollower, OlderChangesAreIgnored) {
+  list(0);
+  Follower_.receive(
+      ProgressMessage{HostId("h0"), 10, 16, 4, {change("a", 15, true)}},
+      atMs(100));
+  Follower_.receive(
+      ProgressMessage{HostId("h2"), 10, 12, 4, {change("a", 11, false)}},
+      atMs(110));
+  CHECK(Follower_.directory().entries().at(TargetId("a")).Leaving_);
+}
+
+TEST(StoreFollower, ReaderPassesOnOnlyWhatMatters) {
+  list(0);
+  Follower_.due(0, atMs(800));
+  const FollowResult Result = Follower_.readEnded(
+      read(20, {change("a", 12), change("b", 13, true)}), atMs(805));
+  CHECK(Result.PassOn_.has_value());
+  CHECK_EQUAL(10, Result.PassOn_->After_);
+  CHECK_EQUAL(20, Result.PassOn_->Revision_);
+  CHECK_EQUAL(1, Result.PassOn_->Targets_.size());
+}
+
+TEST(StoreFollower, ForgottenHistoryIsListedAnew) {
+  list(0);
+  Follower_.due(0, atMs(800));
+  PublishedRead Gone;
+  Gone.Status_ = ReadStatus::HistoryGone;
+  Follower_.readEnded(Gone, atMs(805));
+  CHECK(Follower_.due(0, atMs(806))->What_ == ReadOrder::Kind::All);
+}
+
+// Guards against a revert to an older configuration.
+TEST(StoreFollower, ConfigurationsNeverGoBack) {
+  list(0);
+  Follower_.due(0, atMs(800));
+  PublishedRead Older = read(20);
+  Older.Config_ = PublishedConfig{15, table(6)};
+  CHECK(Follower_.readEnded(Older, atMs(805)).NewTable_ == nullptr);
+  CHECK_EQUAL(7, Follower_.table()->config().Version_);
+}
+
+// Guards against a host that misses a configuration because another read it.
+TEST(StoreFollower, NewerConfigurationOfAPeerIsRead) {
+  list(0);
+  Follower_.receive(ProgressMessage{HostId("h0"), 10, 12, 11, {}}, atMs(100));
+  CHECK(Follower_.due(3, atMs(101))->What_ == ReadOrder::Kind::Config);
+  PublishedRead Newer = read(12);
+  Newer.Config_ = PublishedConfig{11, table(9)};
+  CHECK(Follower_.readEnded(Newer, atMs(105)).NewTable_ != nullptr);
+  CHECK_FALSE(Follower_.due(3, atMs(106)).has_value());
+}
+
+TEST(StoreFollower, FailedReadsAreSpacedOut) {
+  list(0);
+  std::int64_t Now = 800;
+  int Reads = 0;
+  for (; Now < 10'800; Now += 50) {
+    if (!Follower_.due(0, atMs(Now)))
+      continue;
+    ++Reads;
+    Follower_.readEnded(PublishedRead(), atMs(Now));
+  }
+  CHECK(Reads >= 5);
+  CHECK(Reads <= 12);
+}
+
+// Guards against an outage of the store emptying all services at its end.
+TEST(StoreFollower, LapsedEntriesOutliveAnOutage) {
+  list(0);
+  for (std::int64_t Now = 800; Now < 6'000; Now += 50)
+    if (Follower_.due(0, atMs(Now)))
+      Follower_.readEnded(PublishedRead(), atMs(Now));
+  Follower_.due(0, atMs(8'000));
+  Follower_.readEnded(read(30, {TargetChange{TargetId("a"), 25, std::nullopt}}),
+                      atMs(8'000));
+  CHECK_EQUAL(2, Follower_.directory().entries().size());
+  CHECK(Follower_.expire(atMs(10'500)));
+  CHECK_EQUAL(1, Follower_.directory().entries().size());
+}
+
+TEST(StoreFollower, ReaderRankIsTheSameForAll) {
+  std::vector<Member> All;
+  for (int Index = 0; Index < 9; ++Index)
+    All.push_back(Member{HostId("h" + std::to_string(Index)), "",
+                         FailureDomain(Index % 3 ? "yaba" : "ikeja"), Region(),
+                         1, 0, MemberState::Serving});
+  std::vector<std::uint32_t> Ranks;
+  for (const Member &Each : All)
+    if (Each.Domain_ == FailureDomain("ikeja"))
+      Ranks.push_back(readerRank(Each, All));
+  std::sort(Ranks.begin(), Ranks.end());
+  CHECK(Ranks == (std::vector<std::uint32_t>{0, 1, 2}));
+}
--- /dev/null
+++ b/test/target-balancer-test.cc
@@ -0,0 +1,221 @@
+// Target selection and ejection of one service.
+
+#include "kumquatpitch/target-balancer.h"
+
+#include "manual-time.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+static TargetEntry target(int Index, const char *Domain = "ikeja") {
+  TargetEntry Made;
+  Made.Id_ = TargetId("t" + std::to_string(Index));
+  Made.Service_ = ServiceName("desk");
+  Made.Address_ =
+      Endpoint{"10.0.0.1", static_cast<std::uint16_t>(1'000 + Index)};
+  Made.Domain_ = FailureDomain(Domain);
+  Made.Slots_ = 3;
+  Made.StartedUnixMs_ = 1;
+  return Made;
+}
+
+TEST_GROUP(TargetBalancer) {
+  SeededRandom Random_{7};
+  TargetBalancer Balancer_{FailureDomain("ikeja"), 0.7, 1};
+  std::int64_t Now_ = 100'000; ///< Milliseconds.
+
+  void useTargets(int Count) {
+    std::vector<TargetEntry> Targets;
+    for (int Index = 0; Index < Count; ++Index)
+      Targets.push_back(target(Index));
+    Balancer_.setTargets(Targets, atMs(Now_));
+  }
+
+  std::optional<TargetPick> pick(bool MayRepeat) {
+    PickTerms Terms;
+    Terms.MayRepeat_ = MayRepeat;
+    Terms.TimeLeft_ = ms(2'000);
+    return Balancer_.pick(Terms, atMs(Now_), Random_);
+  }
+
+  void end(const TargetId &Id, AttemptEvidence Evidence, std::int64_t TookMs) {
+    Balancer_.attemptStarted(Id, atMs(Now_));
+    Now_ += TookMs;
+    Balancer_.attemptEnded(Id, atMs(Now_ - TookMs), Evidence, ms(200),
+                           std::nullopt, atMs(Now_));
+  }
+
+  /// Picks many times without load; true when the target is among the picks.
+  bool isUsed(const TargetId &Id, bool MayRepeat) {
+    for (int Count = 0; Count < 30; ++Count) {
+      const std::optional<TargetPick> Pick = pick(MayRepeat);
+      if (Pick && Pick->Target_.Id_ == Id)
+        return true;
+    }
+    return false;
+  }
+};
+
+TEST(TargetBalancer, EarlyFailureEjectsAtOnce) {
+  useTargets(4);
+  end(TargetId("t0"), AttemptEvidence::Failed, 3);
+  CHECK(Balancer_.isEjected(TargetId("t0")));
+  CHECK_FALSE(isUsed(TargetId("t0"), false));
+}
+
+// Guards against ejecting healthy targets, a few of whose requests fail.
+TEST(TargetBalancer, LateFailuresEjectOnlyTogether) {
+  useTargets(4);
+  end(TargetId("t0"), AttemptEvidence::FailedLate, 200);
+  CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
+  end(TargetId("t0"), AttemptEvidence::Answered, 200);
+  end(TargetId("t0"), AttemptEvidence::FailedLate, 200);
+  CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
+  end(TargetId("t0"), AttemptEvidence::FailedLate, 200);
+  CHECK(Balancer_.isEjected(TargetId("t0")));
+}
+
+// Guards against bookings being lost to find out whether a target has
+// recovered, while requests are there that can be repeated.
+TEST(TargetBalancer, RepeatableRequestsTakeTheTrials) {
+  useTargets(4);
+  end(TargetId("t0"), AttemptEvidence::Failed, 3);
+  pick(true);
+  Now_ += 2'500;
+  CHECK_FALSE(isUsed(TargetId("t0"), false));
+  const std::optional<TargetPick> Trial = pick(true);
+  CHECK(Trial && Trial->IsTrial_ && Trial->Target_.Id_ == TargetId("t0"));
+  // One trial at a time.
+  CHECK_FALSE(isUsed(TargetId("t0"), true));
+}
+
+// Guards against a gray target, which succeeds now and then, coming back after
+// one success.
+TEST(TargetBalancer, TwoTrialsMustSucceed) {
+  useTargets(6);
+  end(TargetId("t0"), AttemptEvidence::Failed, 3);
+  Now_ += 4'000;
+  end(TargetId("t0"), AttemptEvidence::Answered, 200);
+  CHECK(Balancer_.isEjected(TargetId("t0")));
+  Now_ += 300;
+  end(TargetId("t0"), AttemptEvidence::Answered, 200);
+  CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
+}
+
+// Guards against the floor: while requests fail, no more than a few targets may
+// stay without requests, even if every trial costs a booking.
+TEST(TargetBalancer, FloorTriesTheExcessWhileRequestsFail) {
+  useTargets(10);
+  for (int Index = 0; Index < 5; ++Index)
+    end(TargetId("t" + std::to_string(Index)), AttemptEvidence::Failed, 3);
+  pick(true);
+  Now_ += 2'000;
+  CHECK_FALSE(pick(false)->IsTrial_);
+  for (int Count = 0; Count < 10; ++Count)
+    Balancer_.requestEnded(Count > 2, atMs(Now_));
+  int Trials = 0;
+  for (int Count = 0; Count < 10; ++Count)
+    Trials += pick(false)->IsTrial_ ? 1 : 0;
+  CHECK_EQUAL(4, Trials);
+}
+
+// Guards against a fault of one host's path ejecting a target everywhere.
+TEST(TargetBalancer, DoubtsOfOthersGiveWayToOwnAnswers) {
+  useTargets(4);
+  Balancer_.peerEvidence(TargetId("t0"), TargetNews::Doubtful, atMs(Now_));
+  end(TargetId("t0"), AttemptEvidence::Answered, 200);
+  Balancer_.peerEvidence(TargetId("t0"), TargetNews::Doubtful, atMs(Now_));
+  CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
+  Balancer_.peerEvidence(TargetId("t0"), TargetNews::Failed, atMs(Now_));
+  CHECK(Balancer_.isEjected(TargetId("t0")));
+}
+
+// Guards against sending to a target that answers nothing any more while its
+// requests still wait for their deadline.
+TEST(TargetBalancer, SilentTargetsAreAvoided) {
+  useTargets(2);
+  Balancer_.attemptStarted(TargetId("t0"), atMs(Now_));
+  Now_ += 1'500;
+  CHECK_FALSE(isUsed(TargetId("t0"), true));
+  end(TargetId("t0"), AttemptEvidence::Answered, 1);
+  CHECK(isUsed(TargetId("t0"), true) || isUsed(TargetId("t1"), true));
+}
+
+// Guards against short deadlines ejecting targets that had no time to answer.
+TEST(TargetBalancer, ShortDeadlinesAreNoSilence) {
+  useTargets(4);
+  end(TargetId("t0"), AttemptEvidence::Silent, 300);
+  CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
+  end(TargetId("t0"), AttemptEvidence::Silent, 2'000);
+  CHECK(Balancer_.isEjected(TargetId("t0")));
+}
+
+TEST(TargetBalancer, FullTargetsHaveNoRoom) {
+  useTargets(1);
+  for (int Count = 0; Count < 4; ++Count) {
+    CHECK(pick(false).has_value());
+    Balancer_.attemptStarted(TargetId("t0"), atMs(Now_));
+  }
+  CHECK_FALSE(pick(false).has_value());
+}
+
+// Guards against hosts that each fill a target's queue, as none sees the
+// others' requests.
+TEST(TargetBalancer, ReportedLoadCountsAndFades) {
+  useTargets(1);
+  Balancer_.attemptStarted(TargetId("t0"), atMs(Now_));
+  Balancer_.attemptEnded(TargetId("t0"), atMs(Now_), AttemptEvidence::Refused,
+                         ms(200), ReportedLoad{3, 12}, atMs(Now_));
+  Now_ += 400;
+  CHECK_FALSE(pick(false).has_value());
+  Now_ += 1'000;
+  CHECK(pick(false).has_value());
+}
+
+TEST(TargetBalancer, OwnFailureDomainComesFirstUntilItIsFull) {
+  Balancer_.setTargets({target(0), target(1, "yaba")}, atMs(Now_));
+  for (int Count = 0; Count < 3; ++Count) {
+    CHECK(pick(false)->Target_.Id_ == TargetId("t0"));
+    Balancer_.attemptStarted(TargetId("t0"), atMs(Now_));
+  }
+  Balancer_.attemptStarted(TargetId("t0"), atMs(Now_));
+  CHECK(pick(false)->Target_.Id_ == TargetId("t1"));
+}
+
+// Guards against refusing requests that an ejected target would mostly serve.
+TEST(TargetBalancer, PartlyServingTargetsAreUsedWhileRequestsWait) {
+  useTargets(3);
+  for (int Count = 0; Count < 4; ++Count) {
+    Balancer_.attemptStarted(TargetId("t1"), atMs(Now_));
+    Balancer_.attemptStarted(TargetId("t2"), atMs(Now_));
+  }
+  end(TargetId("t0"), AttemptEvidence::Failed, 3);
+  CHECK_FALSE(pick(false).has_value());
+  Balancer_.setCrowded(true);
+  CHECK_FALSE(pick(false).has_value());
+  end(TargetId("t0"), AttemptEvidence::Answered, 3);
+  end(TargetId("t0"), AttemptEvidence::Failed, 3);
+  end(TargetId("t0"), AttemptEvidence::Answered, 3);
+  end(TargetId("t0"), AttemptEvidence::Answered, 3);
+  CHECK(pick(false).has_value());
+}
+
+TEST(TargetBalancer, LeavingTargetsGetNothing) {
+  TargetEntry Leaving = target(0);
+  Leaving.Leaving_ = true;
+  Balancer_.setTargets({Leaving}, atMs(Now_));
+  CHECK_FALSE(pick(true).has_value());
+  CHECK_FALSE(Balancer_.hasTarget(PickTerms()));
+}
+
+// Guards against knowledge about a former incarnation being used for the next.
+TEST(TargetBalancer, RestartedTargetsBeginAnew) {
+  useTargets(2);
+  end(TargetId("t0"), AttemptEvidence::Failed, 3);
+  TargetEntry Restarted = target(0);
+  Restarted.StartedUnixMs_ = 2;
+  Balancer_.setTargets({Restarted, target(1)}, atMs(Now_));
+  CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
+}
