--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -374,6 +374,7 @@
           *Request_, Each.Order_, Outcome, std::nullopt, Now);
       if (Ended.News_)
         Parts_.Evidence_.evidence(Each.Order_.Target_, *Ended.News_);
+      logAttempt(Each.Order_, attemptOutcomeName(Outcome), "ended by the host");
     }
   }
 
