--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -270,8 +270,8 @@
                              TimePoint Now) {
   Service &Of = serviceOf(Request->Service_);
   // Those that wait already go first, by the order of orderWaiting().
-  const Placement Placed = Of.Waiting_.empty() ? tryToPlace(*Request, Of, Now)
-                                               : Placement(WaitsForRoom{});
+  Placement Placed = Of.Waiting_.empty() ? tryToPlace(*Request, Of, Now)
+                                         : Placement(WaitsForRoom{});
   if (std::holds_alternative<WaitsForRoom>(Placed)) {
     Request->Waits_ = true;
     Of.Waiting_.push_back(Request);
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -53,6 +53,7 @@
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &From) {
   std::vector<std::string> Addresses;
+  Addresses.reserve(From.size());
   for (const Endpoint &Each : From)
     Addresses.push_back(Each.Address_);
   return Addresses;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -159,9 +159,11 @@
     const std::size_t Index = Attempts_.size();
     Attempts_.push_back(Attempt{Order, nullptr});
     const std::shared_ptr<GatewayFlow> Self = shared_from_this();
-    Attempts_[Index].Call_ = Parts_.Client_.call(
-        Terms, requestBytes(Order.Target_, Left),
-        [Self, Index](CallResult Result) { Self->ended(Index, Result); });
+    Attempts_[Index].Call_ =
+        Parts_.Client_.call(Terms, requestBytes(Order.Target_, Left),
+                            [Self, Index](const CallResult &Result) {
+                              Self->ended(Index, Result);
+                            });
     if (Order.IsTrial_ || Order.IsResend_)
       logAttempt(Order, "sent", "");
     armHedge(Order);
--- a/src/resend-budget.cc
+++ b/src/resend-budget.cc
@@ -10,7 +10,8 @@
     Counts_ = {};
   }
   const std::int64_t Part =
-      Now.time_since_epoch().count() / (Window_.count() / Parts);
+      Now.time_since_epoch().count() /
+      (Window_.count() / static_cast<std::int64_t>(Parts));
   Count &Slot = Counts_[static_cast<std::size_t>(Part) % Counts_.size()];
   if (Slot.Part_ != Part)
     Slot = Count{Part, 0, 0};
--- a/test/caller-hosts-test.cc
+++ b/test/caller-hosts-test.cc
@@ -11,6 +11,7 @@
 
 static std::vector<Member> fleet(int Count) {
   std::vector<Member> Hosts;
+  Hosts.reserve(Count);
   for (int Index = 0; Index < Count; ++Index)
     Hosts.push_back(Member{HostId("h" + std::to_string(Index)),
                            "10.0.0." + std::to_string(Index),
--- a/test/gateway-soak.cc
+++ b/test/gateway-soak.cc
@@ -135,7 +135,7 @@
                         Detail);
   }
 
-  void after(double Delay, std::function<void()> What) {
+  void after(double Delay, const std::function<void()> &What) {
     const std::shared_ptr<asio::steady_timer> Timer =
         std::make_shared<asio::steady_timer>(
             Context_,
--- a/test/host-membership-test.cc
+++ b/test/host-membership-test.cc
@@ -36,7 +36,7 @@
                 Run,
                 0,
                 MemberState::Serving};
-    Random_.push_back(std::make_unique<SeededRandom>(Index * 31 + Run));
+    Random_.push_back(std::make_unique<SeededRandom>(31UL * Index + Run));
     Hosts_[Address] = std::make_unique<HostMembership>(Self, *Random_.back());
     Hosts_[Address]->setSeeds(Seeds_);
   }
--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -65,7 +65,7 @@
     CHECK_FALSE(decodeTarget(TargetId("i-1"),
                              replaced(TargetText, Each.first, Each.second))
                     .has_value());
-  CHECK_FALSE(decodeTarget(TargetId("i-1"), "\xff\x00 no JSON").has_value());
+  CHECK_FALSE(decodeTarget(TargetId("i-1"), "\xff no JSON").has_value());
 }
 
 TEST(StoreDecoder, ConfigurationIsRead) {
@@ -135,7 +135,7 @@
   CHECK_EQUAL(10, Read.Revision_);
 }
 
-TEST_GROUP(PlatformAdapter) { const PlatformAdapter Adapter_; };
+TEST_GROUP(PlatformAdapter) { PlatformAdapter Adapter_; };
 
 TEST(PlatformAdapter, AddressCallIsReadAndAnswered) {
   HttpMessage Call;
--- a/test/store-follower-test.cc
+++ b/test/store-follower-test.cc
@@ -162,6 +162,7 @@
 
 TEST(StoreFollower, ReaderRankIsTheSameForAll) {
   std::vector<Member> All;
+  All.reserve(9);
   for (int Index = 0; Index < 9; ++Index)
     All.push_back(Member{HostId("h" + std::to_string(Index)), "",
                          FailureDomain(Index % 3 ? "yaba" : "ikeja"), Region(),
--- a/test/target-balancer-test.cc
+++ b/test/target-balancer-test.cc
@@ -28,6 +28,7 @@
 
   void useTargets(int Count) {
     std::vector<TargetEntry> Targets;
+    Targets.reserve(Count);
     for (int Index = 0; Index < Count; ++Index)
       Targets.push_back(target(Index));
     Balancer_.setTargets(Targets, atMs(Now_));
