--- a/include/kumquatpitch/resend-budget.h
+++ b/include/kumquatpitch/resend-budget.h
@@ -32,7 +32,7 @@
 
   /// Resends that the budget still allows now.
   double left(const ResendTerms &Terms, TimePoint Now) {
-    return allowance(Terms, Now);
+    return remaining(Terms, Now);
   }
 
 private:
@@ -47,7 +47,7 @@
   };
 
   Count &countAt(Duration Window, TimePoint Now);
-  double allowance(const ResendTerms &Terms, TimePoint Now);
+  double remaining(const ResendTerms &Terms, TimePoint Now);
 
   std::array<Count, Parts + 1> Counts_{};
   Duration Window_ = std::chrono::seconds(10);
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -145,7 +145,7 @@
   double slowness(const State &Each, TimePoint Now) const;
   double expected(const State &Each, TimePoint Now) const;
   Duration trialPause(const State &Each, bool MayRepeat) const;
-  bool isFloorAtRisk(TimePoint Now) const;
+  bool isFloorAtRisk() const;
   bool isCapacityShort() const;
   static void rate(State &Each, bool Served, TimePoint Now);
   static double servedShare(const State &Each);
--- a/src/resend-budget.cc
+++ b/src/resend-budget.cc
@@ -22,7 +22,7 @@
   ++countAt(Window_, Now).Requests_;
 }
 
-double ResendBudget::allowance(const ResendTerms &Terms, TimePoint Now) {
+double ResendBudget::remaining(const ResendTerms &Terms, TimePoint Now) {
   const std::int64_t Newest = countAt(Terms.Window_, Now).Part_;
   double Requests = 0;
   double Resends = 0;
@@ -39,7 +39,7 @@
 }
 
 bool ResendBudget::take(const ResendTerms &Terms, TimePoint Now) {
-  if (allowance(Terms, Now) < 1)
+  if (remaining(Terms, Now) < 1)
     return false;
   ++countAt(Terms.Window_, Now).Resends_;
   return true;
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -199,8 +199,7 @@
   return Slots * MicrosecondsPerSecond / Mean_;
 }
 
-bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
-  static_cast<void>(Now);
+bool TargetBalancer::isFloorAtRisk() const {
   return Ended_ > 0 && Unserved_ / Ended_ >= FloorUnservedShare;
 }
 
@@ -226,7 +225,7 @@
 /// The ejected target that was without a request for longest, when so many are
 /// that the floor is at risk; else null.
 const TargetBalancer::State *TargetBalancer::floorTrial(TimePoint Now) const {
-  if (!isFloorAtRisk(Now))
+  if (!isFloorAtRisk())
     return nullptr;
   std::size_t Unused = 0;
   const State *Oldest = nullptr;
