Take test ports from below the range of outgoing connections

One of four repeated runs beside load failed with its files kept: host-0 had ended with 'cannot listen for operators', as an outgoing connection had taken the port between freePort() and the start. Ruled out: the gateway's changes; the daemon never started. Ports now come from 12000 to 29999, and runs beside each other use ports and networks of their own.

--- a/test/child-process.cc
+++ b/test/child-process.cc
@@ -4,7 +4,9 @@
 
 #include <arpa/inet.h>
 #include <csignal>
+#include <cstdint>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -70,18 +72,26 @@
 }
 
 int freePort() {
-  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Size = sizeof(Address);
-  const bool IsBound =
-      bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
-      getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) == 0;
-  close(Socket);
-  if (!IsBound)
-    throw std::runtime_error("no free port");
-  return ntohs(Address.sin_port);
+  // Below the range from which the system takes ports of outgoing connections:
+  // one of those could be taken before the process that is to listen starts.
+  constexpr int First = 12'000;
+  constexpr int Count = 18'000;
+  static int Next = static_cast<int>(getpid()) * 37 % Count;
+  for (int Tries = 0; Tries < Count; ++Tries) {
+    const int Port = First + Next;
+    Next = (Next + 1) % Count;
+    const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+    const bool IsFree = bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                             sizeof Address) == 0;
+    close(Socket);
+    if (IsFree)
+      return Port;
+  }
+  throw std::runtime_error("no free port");
 }
 
 } // namespace kumquatpitch::test
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -4,6 +4,8 @@
 #include "kumquatpitch/asio-timer-service.h"
 #include "kumquatpitch/gateway-front.h"
 
+#include "child-process.h"
+
 #include <array>
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
@@ -15,11 +17,12 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpitch;
+using kumquatpitch::test::freePort;
 
 namespace {
 
-constexpr std::uint16_t FrontPort = 28'381;
-constexpr std::uint16_t TargetPort = 28'382;
+const std::uint16_t FrontPort = static_cast<std::uint16_t>(freePort());
+const std::uint16_t TargetPort = static_cast<std::uint16_t>(freePort());
 
 asio::ip::tcp::endpoint at(std::uint16_t Port) {
   return {asio::ip::make_address("127.0.0.1"), Port};
--- a/test/gateway-soak.cc
+++ b/test/gateway-soak.cc
@@ -21,6 +21,7 @@
 #include <fstream>
 #include <functional>
 #include <set>
+#include <unistd.h>
 
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
@@ -73,8 +74,8 @@
 public:
   Soak(std::string Binary, std::uint64_t Seed, double Length, int Hosts)
       : Binary_(std::move(Binary)), Seed_(Seed), Length_(Length), Random_(Seed),
-        Net_("127." + std::to_string(10 + Seed % 200) + "."), Store_(Context_),
-        StoreServer_(Context_, Store_), Client_(Context_) {
+        Net_("127." + std::to_string(10 + getpid() % 200) + "."),
+        Store_(Context_), StoreServer_(Context_, Store_), Client_(Context_) {
     Directory_ = std::filesystem::temp_directory_path() /
                  ("gateway-soak-" + std::to_string(Seed) + "-" +
                   std::to_string(getpid()));
