Do not cut a request when its connection's idle timeout has just run out

The log shows caller_gone 1 ms after the request on a host that was busy for 30 ms. Ruled out: a kill or stop of the host, and the caller, whose deadline was 1.7 s away. The test failed first. The timeout in force now is used, since callers go by the newest configuration.

--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -255,7 +255,9 @@
     if (EndsAfterWrite_ || IsClosed_)
       return;
     if (Waiting_.empty())
-      arm(Parser_.hasBegun() ? Limits_.HeadTimeout_ : Limits_.IdleTimeout_);
+      // Callers go by the limits that are in force now.
+      arm(Parser_.hasBegun() ? Server_.Limits_.HeadTimeout_
+                             : Server_.Limits_.IdleTimeout_);
     else
       Timer_.cancel();
   }
@@ -270,6 +272,10 @@
   }
 
   void expired() {
+    // The timer may have run out just before a request was read: cancelling it
+    // then has no effect.
+    if (!Waiting_.empty() && !EndsAfterWrite_)
+      return;
     if (!EndsAfterWrite_ && Waiting_.empty() && Parser_.hasBegun() &&
         !IsRejected_)
       return rejectStream(ResultCode::RequestIncomplete);
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -372,6 +372,26 @@
   CHECK(receives("HTTP/1.1 404"));
 }
 
+// Guards against a request being passed on and then cut, because the idle
+// timeout ran out while the host was too busy to read it.
+TEST(GatewayFront, IdleTimeoutDoesNotCutARequest) {
+  behind([&](ScriptedTarget::Socket &To, const std::string &Request) {
+    if (!isWhole(Request))
+      return false;
+    say(To, answer(idOf(Request), "kept"));
+    return true;
+  });
+  CallerLimits Limits;
+  Limits.IdleTimeout_ = std::chrono::milliseconds(100);
+  Server_.setLimits(Limits);
+  Caller_.connect(at(FrontPort));
+  CHECK(runUntil([&] { return Server_.connections() == 1; }));
+  say(Caller_, request("/book/1", "id1", "POST"));
+  usleep(150'000); // The host does not run meanwhile.
+  listen();
+  CHECK(receives("kept"));
+}
+
 TEST(GatewayFront, PlannedStopEndsConnectionsWithAnAnswer) {
   behind([&](ScriptedTarget::Socket &To, const std::string &Request) {
     if (!isWhole(Request))
