Remove unused parts of the gateway's io and encode shared datagrams once

Cause: a read-through found accessors that nothing calls, a flag of each session that repeats its server's, one constant in two files, and a datagram for the own failure domain encoded anew for each member, in two loops of the same shape. No change of behaviour.

--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -39,7 +39,9 @@
   void receiveDatagram();
   void handleDatagram(const std::string &Bytes);
   void send(const std::string &Address, const PeerDatagram &Message);
+  void sendBytes(const std::string &Address, const std::string &Bytes);
   void send(const std::vector<OutgoingProbe> &Probes);
+  void sendToOwnDomain(const PeerDatagram &Message);
   void tick();
   void order(const ReadOrder &What);
   void readEnded(const ReadOrder &What, const PublishedRead &Read);
--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -31,9 +31,8 @@
 
 struct CallResult {
   CallEnd End_ = CallEnd::NotConnected;
-  HttpMessage Answer_;  ///< With Answered.
-  bool Reused_ = false; ///< The connection had served a call before.
-  std::string Detail_;  ///< For the log: what failed.
+  HttpMessage Answer_; ///< With Answered.
+  std::string Detail_; ///< For the log: what failed.
 };
 
 /// What is called, and for how long to wait.
@@ -77,8 +76,6 @@
   /// Closes idle connections to `At`.
   void closeIdle(const Endpoint &At);
 
-  /// Connections opened since the start.
-  std::uint64_t opened() const { return Opened_; }
   std::size_t idle() const;
 
 private:
@@ -91,7 +88,6 @@
   asio::io_context &Context_;
   /// Idle connections, the one used last at the end.
   std::map<Endpoint, std::list<std::shared_ptr<HttpClientConnection>>> Idle_;
-  std::uint64_t Opened_ = 0;
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -57,10 +57,9 @@
   /// Applies to requests that begin later.
   void setLimits(const CallerLimits &Limits) { Limits_ = Limits; }
 
-  /// Lets each connection end after the answers that are due on it.
-  void drain();
-  /// Accepts no new connections.
-  void stopAccepting();
+  /// Lets each connection end after the answers that are due on it. A request
+  /// may be on its way on an idle one: that is closed with its next answer.
+  void drain() { IsDraining_ = true; }
 
   std::size_t connections() const { return Sessions_.size(); }
   std::size_t requestsInProgress() const;
--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -67,9 +67,6 @@
   bool awaitsContinue() const;
 
   const HttpMessage &message() const { return Message_; }
-  /// The next answer has no body, whatever its headers say.
-  void expectNoBody() { HasNoBody_ = true; }
-
   /// Gives the complete message and begins the next one.
   HttpMessage take();
 
@@ -95,7 +92,6 @@
   ResultCode Code_ = ResultCode::Ok;
   std::uint64_t HeadBytes_ = 0;
   bool LastWasValue_ = false;
-  bool HasNoBody_ = false;
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -76,7 +76,6 @@
   std::uint64_t revision() const { return Revision_; }
   std::uint64_t configRevision() const { return ConfigRevision_; }
   bool hasState() const { return Table_ != nullptr && Revision_ != 0; }
-  std::uint32_t failures() const { return Failures_; }
   /// Age of the copy: time since it was last known to be current.
   Duration age(TimePoint Now) const {
     return FreshAt_ ? Now - *FreshAt_ : Duration::max();
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -44,6 +44,10 @@
   Failed = 2,    ///< A failure that healthy targets do not have.
 };
 
+/// A request is hopeless when its usual time exceeds the time left by this
+/// factor: many requests are done sooner than usual.
+constexpr double HopelessFactor = 1.7;
+
 struct PickTerms {
   std::set<TargetId> Tried_;
   bool MayRepeat_ = false; ///< A failure could be made good by a resend.
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -35,9 +35,6 @@
 /// are made only while more are left.
 constexpr double TrialReserve = 2;
 constexpr double HedgeReserve = 3;
-/// A request is refused when its usual time exceeds the time left by this
-/// factor: many requests are done sooner than usual.
-constexpr double HopelessFactor = 1.7;
 /// A failure within this part of the usual latency came before any work, as
 /// gray failures mostly do. Where that part is shorter than this, nothing can
 /// be told from the time.
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -253,7 +253,11 @@
 
 void GatewayDaemon::send(const std::string &Address,
                          const PeerDatagram &Message) {
-  const std::string Bytes = encodeDatagram(Message);
+  sendBytes(Address, encodeDatagram(Message));
+}
+
+void GatewayDaemon::sendBytes(const std::string &Address,
+                              const std::string &Bytes) {
   asio::error_code Error;
   const asio::ip::udp::endpoint To(asio::ip::make_address(Address, Error),
                                    Settings_.PeerPort_);
@@ -349,12 +353,16 @@
 }
 
 void GatewayDaemon::passOn(const ProgressMessage &Message) {
-  const std::vector<ProgressMessage> Parts = splitProgress(Message);
+  for (const ProgressMessage &Part : splitProgress(Message))
+    sendToOwnDomain(Part);
+}
+
+void GatewayDaemon::sendToOwnDomain(const PeerDatagram &Message) {
+  const std::string Bytes = encodeDatagram(Message);
   for (const Member &Each : Membership_.members())
     if (Each.Domain_ == Settings_.Domain_ && Each.Id_ != Settings_.Id_ &&
         Each.isAlive())
-      for (const ProgressMessage &Part : Parts)
-        send(Each.Address_, Part);
+      sendBytes(Each.Address_, Bytes);
 }
 
 void GatewayDaemon::evidence(const TargetEntry &Target, TargetNews News) {
@@ -383,10 +391,7 @@
 void GatewayDaemon::tellOwnDomain(const EvidenceMessage &Message) {
   EvidenceMessage Final = Message;
   Final.PassOn_ = false;
-  for (const Member &Each : Membership_.members())
-    if (Each.Domain_ == Settings_.Domain_ && Each.Id_ != Settings_.Id_ &&
-        Each.isAlive())
-      send(Each.Address_, Final);
+  sendToOwnDomain(Final);
 }
 
 void GatewayDaemon::shareSlack() {
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -105,7 +105,6 @@
       });
       return;
     }
-    ++Client_.Opened_;
     ConnectTimer_.expires_after(Terms_.ConnectTimeout_);
     ConnectTimer_.async_wait([Self](const asio::error_code &Cancelled) {
       if (!Cancelled && !Self->IsOpen_)
@@ -210,8 +209,6 @@
     CallResult Result;
     Result.End_ = CallEnd::Answered;
     Result.Answer_ = Parser_->take();
-    Result.Reused_ = Uses_ > 0;
-    ++Uses_;
     Timer_.cancel();
     Keep_ = keepTime(Result.Answer_);
     IdleSince_ = std::chrono::steady_clock::now();
@@ -235,7 +232,6 @@
       return;
     CallResult Result;
     Result.End_ = End;
-    Result.Reused_ = Uses_ > 0;
     Result.Detail_ = Detail;
     const HttpClient::Callback OnEnd = std::move(OnEnd_);
     OnEnd_ = nullptr;
@@ -255,7 +251,6 @@
   std::array<char, ReadBytes> Buffer_;
   std::chrono::steady_clock::time_point IdleSince_;
   Duration Keep_{};
-  std::uint64_t Uses_ = 0;
   bool IsOpen_ = false;
   bool IsSent_ = false;    ///< Bytes of the request may have left.
   bool IsWritten_ = false; ///< All of them.
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -42,12 +42,6 @@
     armTimer();
   }
 
-  void drain() {
-    IsClosing_ = true;
-    // A request may be on its way on an idle connection: the connection is
-    // closed with the next answer, or by its idle timeout.
-  }
-
   void close() {
     if (IsClosed_)
       return;
@@ -196,9 +190,8 @@
            !EndsAfterWrite_) {
       const std::shared_ptr<Exchange> First = Waiting_.front();
       Waiting_.pop_front();
-      const bool Last =
-          Waiting_.empty() &&
-          (TakesNoMore_ || IsClosing_ || Server_.IsDraining_ || IsRejected_);
+      const bool Last = Waiting_.empty() &&
+                        (TakesNoMore_ || Server_.IsDraining_ || IsRejected_);
       const bool OmitBody = First->request().Method_ == "HEAD";
       Outgoing_.append(writeAnswer(*First->ready(), Last, OmitBody));
       EndsAfterWrite_ = Last;
@@ -297,7 +290,6 @@
   bool IsWriting_ = false;
   bool IsParsing_ = false;
   bool IsClosed_ = false;
-  bool IsClosing_ = false;   ///< The host leaves.
   bool IsRejected_ = false;  ///< Further bytes are read and dropped.
   bool TakesNoMore_ = false; ///< The caller asked to close, or was rejected.
   bool SaidContinue_ = false;
@@ -362,17 +354,6 @@
       });
 }
 
-void HttpServer::drain() {
-  IsDraining_ = true;
-  for (const std::shared_ptr<HttpSession> &Each : Sessions_)
-    Each->drain();
-}
-
-void HttpServer::stopAccepting() {
-  asio::error_code Ignored;
-  Acceptor_.close(Ignored);
-}
-
 std::size_t HttpServer::requestsInProgress() const {
   std::size_t Count = 0;
   for (const std::shared_ptr<HttpSession> &Each : Sessions_)
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -196,7 +196,7 @@
       Parser->content_length > Own.MaxBodyBytes_)
     return Own.reject(ResultCode::RequestBodyTooLarge);
   Own.State_ = State::Body;
-  return Own.HasNoBody_ ? 1 : 0;
+  return 0;
 }
 
 int MessageParser::onBody(http_parser *Parser, const char *At,
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -75,9 +75,6 @@
 constexpr double AllowedWaiting = 1;
 /// A request that takes this many times the mean makes its target suspect.
 constexpr double SilentFactor = 4;
-/// A request is hopeless at a target whose usual time exceeds the time left by
-/// this factor: many requests are done sooner than usual.
-constexpr double HopelessFactor = 1.7;
 constexpr Duration LeastSilence = std::chrono::milliseconds(600);
 
 double jitterOf(const TargetId &Id, std::uint64_t Salt) {
