Decode the kind of a route into a type and treat downloads as idempotent

Cause: the decoder compared the kind with one word, so download routes ran at most once and a failed download was never sent again. A kind that is not known runs at most once and is logged once for each configuration. Tests: StoreDecoder.DownloadIsIdempotent failed first.

--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -48,6 +48,7 @@
   void startRead(const ReadRequest &Order);
   void onReadEnded(const ReadRequest &Order, const PublishedRead &Read);
   void apply(const FollowResult &Result);
+  void logUnknownKinds(const RoutingConfig &Config);
   void sendChangesToOwnDomain(const StoreChangesMessage &Message);
   void sendEvidenceToOwnDomain(const EvidenceMessage &Message);
   void updateCallerHosts();
--- a/include/kumquatpitch/routing-config.h
+++ b/include/kumquatpitch/routing-config.h
@@ -9,6 +9,7 @@
 #include "kumquatpitch/time-point.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -25,19 +26,29 @@
   bool operator==(const ServiceShare &) const = default;
 };
 
+/// What a route's requests are, which decides whether they may run again.
+enum class RouteKind : std::uint8_t {
+  AtMostOnce, ///< A request must not run more than once.
+  Idempotent, ///< A request may run more than once.
+  Download,   ///< As Idempotent; its answers are large.
+};
+
 /// Settings for the requests to one virtual host whose path has one prefix.
 struct VirtualRoute {
   std::string Name_;
   std::string Host_;
   std::string Prefix_;               ///< Begins and ends with a slash.
   std::vector<ServiceShare> Shares_; ///< Not empty.
-  bool Idempotent_ = false; ///< Requests may be executed more than once.
-  Duration Timeout_{};      ///< Longest time until the caller gets a response.
-  Duration Objective_{};    ///< Latency objective; 0 if not set.
+  RouteKind Kind_ = RouteKind::AtMostOnce;
+  Duration Timeout_{};   ///< Longest time until the caller gets a response.
+  Duration Objective_{}; ///< Latency objective; 0 if not set.
   std::uint32_t MaxTargets_ =
       1; ///< Most targets that one request may be sent to.
   std::uint32_t Priority_ = 0; ///< 0 is the highest priority.
 
+  /// True when requests may be executed more than once.
+  bool isIdempotent() const { return Kind_ != RouteKind::AtMostOnce; }
+
   bool operator==(const VirtualRoute &) const = default;
 };
 
@@ -65,6 +76,9 @@
   CallerLimits Limits_;
   std::vector<VirtualRoute> Routes_;
   std::vector<ServiceSettings> Services_;
+  /// Kinds of route that this version does not know. Their requests run at most
+  /// once.
+  std::set<std::string> UnknownKinds_;
 
   bool operator==(const RoutingConfig &) const = default;
 };
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -369,6 +369,7 @@
          {"revision", std::to_string(Follower_.configRevision())},
          {"routes",
           std::to_string(Result.NewTable_->config().Routes_.size())}});
+    logUnknownKinds(Result.NewTable_->config());
   }
   if (Result.TargetsChanged_) {
     Core_.setTargets(Follower_.directory().entries(), Now);
@@ -382,6 +383,19 @@
   updateState();
 }
 
+/// One line for each configuration that has routes of an unknown kind.
+void GatewayDaemon::logUnknownKinds(const RoutingConfig &Config) {
+  if (Config.UnknownKinds_.empty())
+    return;
+  std::string Kinds;
+  for (const std::string &Kind : Config.UnknownKinds_)
+    Kinds += (Kinds.empty() ? "" : ",") + Kind;
+  Log_.write(LogLevel::Warning, "config", "unknown_kinds",
+             {{"version", std::to_string(Config.Version_)},
+              {"kinds", Kinds},
+              {"handled_as", "at_most_once"}});
+}
+
 void GatewayDaemon::sendChangesToOwnDomain(const StoreChangesMessage &Message) {
   for (const StoreChangesMessage &Part : splitStoreChanges(Message))
     sendToOwnDomain(Part);
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -162,8 +162,8 @@
     Terms.Endpoint_ = Attempt.Target_.Address_;
     Terms.ConnectTimeout_ = ConnectTimeout;
     Terms.Timeout_ = TimeLeft;
-    Terms.MaxIdle_ = Request_->Route_->Idempotent_ ? MaxIdleIdempotent
-                                                   : MaxIdleNonIdempotent;
+    Terms.MaxIdle_ = Request_->Route_->isIdempotent() ? MaxIdleIdempotent
+                                                      : MaxIdleNonIdempotent;
     Terms.EchoHeader_ = Id_.empty() ? "" : Dependencies_.Headers_.RequestId_;
     Terms.EchoValue_ = Id_;
     Terms.MaxAnswerBytes_ = MaxAnswerBytes;
@@ -370,7 +370,8 @@
   void onDeadline() {
     if (IsDone_)
       return;
-    const GatewayRefusal Refusal = Dependencies_.Core_.refusalFor(*Request_);
+    const GatewayRefusal Refusal =
+        Dependencies_.Core_.refusalFor(*Request_, Dependencies_.Timers_.now());
     cancelAttempts(AttemptOutcome::TimedOut);
     refuse(Refusal);
   }
@@ -405,7 +406,8 @@
   void finish() {
     if (!IsDone_ && Request_) {
       cancelAttempts(AttemptOutcome::Cancelled);
-      Dependencies_.Core_.removeFromQueue(*Request_);
+      Dependencies_.Core_.removeFromQueue(*Request_,
+                                          Dependencies_.Timers_.now());
       Front_.Waiting_.erase(Request_.get());
     }
     IsDone_ = true;
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -147,7 +147,7 @@
       Route.Host_ = "h.example";
       Route.Prefix_ = Idempotent ? "/look/" : "/book/";
       Route.Shares_ = {ServiceShare{ServiceName("desk"), 1}};
-      Route.Idempotent_ = Idempotent;
+      Route.Kind_ = Idempotent ? RouteKind::Idempotent : RouteKind::AtMostOnce;
       Route.Timeout_ = std::chrono::milliseconds(600);
       Route.Objective_ = std::chrono::milliseconds(300);
       Route.MaxTargets_ = 1;
--- a/test/routing-config-test.cc
+++ b/test/routing-config-test.cc
@@ -22,6 +22,7 @@
                         {route("short", "h.example", "/a/"),
                          route("long", "h.example", "/a/b/"),
                          route("other", "g.example", "/a/")},
+                        {},
                         {}};
   const RouteTable Table_{Config_};
 
--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -78,7 +78,7 @@
   CHECK_EQUAL(0x1cU, Table->config().Version_);
   const VirtualRoute *Route = Table->find("h.example", "/a/b");
   CHECK(Route != nullptr);
-  CHECK(Route->Idempotent_);
+  CHECK(Route->isIdempotent());
   CHECK(Route->Timeout_ == ms(2'500));
   CHECK(Route->Objective_ == ms(1'000));
   CHECK_EQUAL(2, Route->MaxTargets_);
@@ -89,11 +89,29 @@
 // Guards against a request of an unknown kind being run more than once.
 TEST(StoreDecoder, UnknownKindIsNotIdempotent) {
   std::string Problem;
-  CHECK_FALSE(
-      decodeConfig(replaced(ConfigText, R"("idempotent")", R"("novel")"),
-                   Problem)
-          ->find("h.example", "/a/b")
-          ->Idempotent_);
+  const std::shared_ptr<const RouteTable> Table = decodeConfig(
+      replaced(ConfigText, R"("idempotent")", R"("novel")"), Problem);
+  CHECK_FALSE(Table->find("h.example", "/a/b")->isIdempotent());
+  CHECK(Table->config().UnknownKinds_ == std::set<std::string>{"novel"});
+}
+
+// Guards against a failed download not being sent again.
+TEST(StoreDecoder, DownloadIsIdempotent) {
+  std::string Problem;
+  const std::shared_ptr<const RouteTable> Table = decodeConfig(
+      replaced(ConfigText, R"("idempotent")", R"("download")"), Problem);
+  const VirtualRoute *Route = Table->find("h.example", "/a/b");
+  CHECK(Route->Kind_ == RouteKind::Download);
+  CHECK(Route->isIdempotent());
+  CHECK(Table->config().UnknownKinds_.empty());
+}
+
+TEST(StoreDecoder, NonIdempotentKindIsKnown) {
+  std::string Problem;
+  const std::shared_ptr<const RouteTable> Table = decodeConfig(
+      replaced(ConfigText, R"("idempotent")", R"("non_idempotent")"), Problem);
+  CHECK_FALSE(Table->find("h.example", "/a/b")->isIdempotent());
+  CHECK(Table->config().UnknownKinds_.empty());
 }
 
 // Guards against a configuration that cannot be decoded replacing a valid one.
