Refuse at arrival what cannot be served, and keep few sound targets in use

Small budgets now allow one by lot; a resend that is not sent is refunded. - While requests failed, each target that answered nothing was tried by every host in turn, and each trial held a request until its deadline: in the model of the storm nearly all requests of two seconds. Trials of such targets now start slowly, one at a time, and double with each success. - Trials that the floor called for counted as failures and called for further ones. They no longer count. - A third of the sound targets that were in use got no request for 2 s, since each host preferred its fastest ones. Idle targets are now preferred after a second for each host. - A timeout at a target that had answered others was reported to all hosts.

Ruled out: floor trials by share of all targets (7 of 100 may be sound); holding requests until the deadline, which delays all others.

Tests that failed first: RefusesAtOnceWhatTheTargetsCannotServe, PrefersTargetsThatDoNotShedLoad, KeepsFewSoundTargetsInUseDuringAStorm, SmallBudgetsAllowTheirSumByLot, TimeoutAtAnsweringTargetIsNotReported. RequestsThatCannotMeetTheirDeadlineAreRefusedAtOnce counts refusals when they are made, at arrival. FloorSendsTrialsToExcessEjectedTargets expects three trials, not two: no target may be unused while requests fail.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -7,6 +7,7 @@
 #ifndef KUMQUATPITCH_GATEWAY_CORE_H
 #define KUMQUATPITCH_GATEWAY_CORE_H
 
+#include "kumquatpitch/queue-wait.h"
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/resend-budget.h"
 #include "kumquatpitch/result-code.h"
@@ -66,7 +67,10 @@
   std::uint32_t InProgress_ = 0;     ///< Attempts in progress.
   bool MayHaveRun_ = false;          ///< A target may have executed it.
   bool IsHedged_ = false;
-  bool IsQueued_ = false; ///< Waits for a free slot at a target.
+  bool IsLostTrial_ = false;   ///< Its last attempt was a trial that failed.
+  bool HasResendPaid_ = false; ///< A resend was taken from the budget and has
+                               ///< not been sent yet.
+  bool IsQueued_ = false;      ///< Waits for a free slot at a target.
 };
 
 /// An attempt that the caller of GatewayCore has to start now.
@@ -156,7 +160,7 @@
 
   /// Removes a request from the queue, for example when its caller has
   /// disconnected. Does nothing when the request is not queued.
-  void removeFromQueue(const GatewayRequest &Request);
+  void removeFromQueue(GatewayRequest &Request, TimePoint Now);
 
   /// Chooses the target of a second attempt that runs alongside the first, slow
   /// one. Returns nothing when the resend budget or the targets do not allow
@@ -174,8 +178,9 @@
   void requestEnded(const GatewayRequest &Request, bool Served, TimePoint Now);
 
   /// Builds the refusal of a request that has timed out or for which no further
-  /// attempt is possible. It says whether a target may have executed it.
-  GatewayRefusal refusalFor(const GatewayRequest &Request) const;
+  /// attempt is possible. It says whether a target may have executed it, and if
+  /// not, when the host expects room for another request.
+  GatewayRefusal refusalFor(const GatewayRequest &Request, TimePoint Now) const;
 
   /// Recent counts of ended and unserved requests on this host, for services
   /// that have any.
@@ -190,6 +195,11 @@
   void applyPeerObservation(const ServiceName &Name, const TargetId &Id,
                             TargetObservation Observation, TimePoint Now);
 
+  /// Describes a service's queue for logs: its length, the rate at which the
+  /// targets take requests from this host, and the part of that rate that was
+  /// expected from their slots, per second.
+  std::string describeQueue(const ServiceName &Name, TimePoint Now) const;
+
   /// The balancer of a service; null if the service is unknown.
   const TargetBalancer *balancer(const ServiceName &Name) const;
 
@@ -200,7 +210,9 @@
 
     TargetBalancer Balancer_;
     ResendBudget Budget_;
+    QueueWait Wait_;
     std::vector<std::shared_ptr<GatewayRequest>> Queue_;
+    std::size_t CallerHosts_ = 1; ///< Hosts that share the service's requests.
   };
   using PlacedRequests =
       std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>;
@@ -227,6 +239,13 @@
                                   ServiceState &State, TimePoint Now) const;
   void drainQueue(ServiceState &State, TimePoint Now, PlacedRequests &Placed);
   void sortQueue(ServiceState &State, TimePoint Now) const;
+  static void queueChanged(ServiceState &State, TimePoint Now);
+  static double expectedDepartureRate(const ServiceState &State, TimePoint Now);
+  bool canBeServedInTime(const GatewayRequest &Request,
+                         const ServiceState &State, std::size_t Ahead,
+                         TimePoint Now) const;
+  Placement placeQueued(GatewayRequest &Request, ServiceState &State,
+                        std::size_t Ahead, TimePoint Now);
   GatewayDecision decideAfterFailure(GatewayRequest &Request,
                                      AttemptOutcome Outcome, TimePoint Now);
   ServiceState &findOrCreateService(const ServiceName &Name);
--- a/include/kumquatpitch/resend-budget.h
+++ b/include/kumquatpitch/resend-budget.h
@@ -5,6 +5,7 @@
 #ifndef KUMQUATPITCH_RESEND_BUDGET_H
 #define KUMQUATPITCH_RESEND_BUDGET_H
 
+#include "kumquatpitch/random-source.h"
 #include "kumquatpitch/time-point.h"
 
 #include <array>
@@ -27,8 +28,14 @@
   /// Counts a request that arrived from a caller.
   void requestArrived(TimePoint Now);
 
-  /// Consumes one resend; returns false when the budget is exhausted.
-  bool tryConsume(const ResendLimits &Limits, TimePoint Now);
+  /// Consumes one resend; returns false when the budget is exhausted. A budget
+  /// of less than one resend in a window allows one by lot: many hosts with few
+  /// requests each then use, in sum, what they are allowed.
+  bool tryConsume(const ResendLimits &Limits, TimePoint Now,
+                  RandomSource &Random);
+
+  /// Returns a resend that was consumed and not sent.
+  void refund(TimePoint Now);
 
   /// Number of resends that the budget still allows.
   double available(const ResendLimits &Limits, TimePoint Now) {
@@ -47,11 +54,21 @@
     std::uint32_t Resends_ = 0;
   };
 
+  /// Requests and resends within the last window.
+  struct WindowCounts {
+    double Requests_ = 0;
+    double Resends_ = 0;
+  };
+
   Bucket &bucketAt(Duration Window, TimePoint Now);
+  WindowCounts countsAt(const ResendLimits &Limits, TimePoint Now);
   double remaining(const ResendLimits &Limits, TimePoint Now);
+  double lotAt(TimePoint Now, RandomSource &Random);
 
   std::array<Bucket, BucketCount + 1> Buckets_{};
   Duration Window_ = std::chrono::seconds(10);
+  double Lot_ = 0;              ///< In [0, 1), drawn once in each window.
+  std::int64_t LotWindow_ = -1; ///< Number of the window of Lot_.
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -81,7 +81,7 @@
   /// exceeds it by DeadlineSlackFactor is not picked.
   Duration TimeLeft_ = Duration::max();
   Duration Usual_{};          ///< Usual latency of this kind of request.
-  bool IsLastResort_ = false; ///< Prefer an ejected or full target to none.
+  bool IsLastResort_ = false; ///< Prefer an ejected target to none.
 
   bool operator==(const PickConstraints &) const = default;
 };
@@ -118,7 +118,7 @@
 
   /// Picks an untried target: one that is due for a trial request, otherwise
   /// the one with room and the lowest expected cost. Returns nothing when there
-  /// is neither, unless `IsLastResort_` is set and any untried target is left.
+  /// is neither, unless `IsLastResort_` is set and an ejected one has room.
   std::optional<TargetPick> pick(const PickConstraints &Constraints,
                                  TimePoint Now, RandomSource &Random);
 
@@ -126,10 +126,12 @@
   void attemptStarted(const TargetId &Id, TimePoint Now);
 
   /// Records the end of an attempt. `Usual` is the usual latency of requests of
-  /// its kind, or 0 while it is unknown.
-  void attemptEnded(const TargetId &Id, TimePoint StartedAt,
-                    AttemptEvidence Evidence, Duration Usual,
-                    std::optional<ReportedLoad> Load, TimePoint Now);
+  /// its kind, or 0 while it is unknown. Returns the evidence as it was
+  /// counted: a timeout is none when the target has answered other requests
+  /// meanwhile.
+  AttemptEvidence attemptEnded(const TargetId &Id, TimePoint StartedAt,
+                               AttemptEvidence Evidence, Duration Usual,
+                               std::optional<ReportedLoad> Load, TimePoint Now);
 
   /// Sets whether requests are waiting for room. While they are, trials come
   /// sooner and ejected targets that serve part of their requests are used.
@@ -137,7 +139,8 @@
     HasWaitingRequests_ = HasWaitingRequests;
   }
 
-  /// Records the end of a request for the floor.
+  /// Records the end of a request for the floor. A request that was lost as a
+  /// trial is not to be recorded: trials would call for further ones.
   void requestEnded(bool Served, TimePoint Now);
 
   /// Decayed counts of the requests that ended on this host.
@@ -153,12 +156,15 @@
 
   bool isEjected(const TargetId &Id) const;
 
+  /// True when every target that could get requests is ejected.
+  bool areAllEjected(TimePoint Now) const;
+
   /// True when there is an untried target, even if it is full or ejected.
   bool hasUntriedTarget(const PickConstraints &Constraints,
                         TimePoint Now) const;
 
-  /// Requests per second that the targets in use can complete, by their slots
-  /// and the mean latency.
+  /// Requests per second that the targets can complete, by their slots and the
+  /// mean latency. An ejected target counts by the share that it serves.
   double completionRate(TimePoint Now) const;
 
   /// Describes each target in one word for logs: this host's requests in
@@ -178,6 +184,7 @@
     TargetEntry Entry_;
     TimePoint KnownSince_;
     std::multiset<TimePoint> Running_; ///< Start times of own attempts.
+    TimePoint SentAt_;                 ///< Start of the last own attempt.
     double PeerLoad_ = 0;  ///< Other hosts' requests there, by its last report.
     TimePoint PeerLoadAt_; ///< When the load was reported.
     double Slowness_ = 1;  ///< Decayed mean of latency / usual latency.
@@ -190,7 +197,8 @@
     std::size_t Rank_ = 0;   ///< Assigned hosts whose turn comes earlier.
     std::uint32_t Suspicion_ = 0; ///< Weighted late failures since an answer.
     TimePoint SuspectedAt_;
-    bool Ejected_ = false; ///< Stays set until trials succeed.
+    bool Ejected_ = false;        ///< Stays set until trials succeed.
+    bool IsUnresponsive_ = false; ///< Its last failure was not an answer.
     /// Decayed counts of successes and failures since the ejection.
     double Served_ = 0;
     double Unserved_ = 0;
@@ -198,6 +206,8 @@
     bool OnTrial_ = false; ///< A trial request is in progress.
     TimePoint AnsweredAt_; ///< When it last answered in full.
     TimePoint RefusingUntil_;
+    double ShedShare_ = 0; ///< Share refused with slots free, as of ShedAt_.
+    TimePoint ShedAt_;
     /// Set when another instance answered at its address, so that the target
     /// itself no longer runs there.
     std::optional<TimePoint> GoneUntil_;
@@ -209,6 +219,8 @@
   };
 
   double load(const State &Target, TimePoint Now) const;
+  static double shedShare(const State &Target, TimePoint Now);
+  static void recordShedding(State &Target, bool Refused, TimePoint Now);
   /// Latency factor of the target, decayed towards 1 and raised by a cold
   /// start.
   double slowness(const State &Target, TimePoint Now) const;
@@ -223,17 +235,22 @@
   bool isCapacityShort() const;
   static void countOutcome(State &Target, bool Served, TimePoint Now);
   static double servedShare(const State &Target);
+
+  static Duration floorPause(const State &Target, bool IsAtRisk);
   const State *floorTrialTarget(const PickConstraints &Constraints,
                                 TimePoint Now) const;
+  bool showsSilence(const State &Target, TimePoint StartedAt,
+                    TimePoint Now) const;
   void applyEvidence(State &Target, AttemptEvidence Evidence,
                      TimePoint StartedAt, TimePoint Now);
   bool isSilent(const State &Target, TimePoint Now) const;
   bool hasRoom(const State &Target, TimePoint Now) const;
-  bool areAllEjected(TimePoint Now) const;
   std::optional<TargetPick> pickLastResort(const PickConstraints &Constraints,
                                            TimePoint Now);
   bool isTrialDue(const State &Target, const PickConstraints &Constraints,
                   TimePoint Now) const;
+  bool hasTrialLeft(const State &Target) const;
+  void recordTrialOfUnresponsive(bool Succeeded);
   void adjustGrayFailureLength(State &Target, bool Succeeded, TimePoint Now);
   void raiseSuspicion(State &Target, std::uint32_t Weight, TimePoint Now);
   void eject(State &Target, TimePoint Now);
@@ -248,6 +265,9 @@
   FailureDomain OwnDomain_;
   double FloorShare_;
   std::vector<AssignedHost> AssignedHosts_;
+  /// Most trials of unresponsive targets that this host makes at once; see
+  /// hasTrialLeft().
+  std::size_t MaxUnresponsiveTrials_ = 1;
   bool HasWaitingRequests_ = false;
   std::map<TargetId, State> States_;
   /// Decayed mean latency. Samples below the mean weigh less, in proportion.
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/gateway-core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace kumquatpitch {
@@ -18,8 +19,10 @@
 /// Retry delay sent to callers while the configuration or the targets are
 /// missing: roughly the time that it takes to read them.
 constexpr Duration StateRetryAfter = std::chrono::milliseconds(500);
-/// Shortest retry delay sent to a refused caller.
+/// Bounds of the retry delay sent to a refused caller. The queue's departure
+/// rate does not predict more than a few seconds.
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration MaxRetryAfter = std::chrono::seconds(5);
 /// Time reserved before the deadline for the response to reach the caller.
 constexpr Duration DeliveryTime = std::chrono::milliseconds(15);
 /// A failure this close to the deadline is attributed to the target's own time
@@ -48,8 +51,8 @@
 /// hosts that a service's callers are given; every other host gets an equal
 /// part of OtherHostsSlack, which is divided by the number of all live hosts.
 /// The rest is a margin for hosts whose views of the fleet differ.
-constexpr double CallerHostsSlack = 0.75;
-constexpr double OtherHostsSlack = 0.1;
+constexpr double CallerHostsSlack = 0.6;
+constexpr double OtherHostsSlack = 0.25;
 /// Services with fewer recent requests than this are not reported to other
 /// hosts: the counts are too small to show whether the floor is at risk.
 constexpr double MinReportedRequests = 0.5;
@@ -162,7 +165,9 @@
   if (Head.TimeLeft_)
     TimeLeft = std::min(TimeLeft, *Head.TimeLeft_);
   Request->DeadlineAt_ = Now + TimeLeft;
-  findOrCreateService(Request->Service_).Budget_.requestArrived(Now);
+  ServiceState &State = findOrCreateService(Request->Service_);
+  State.Budget_.requestArrived(Now);
+  State.Wait_.requestArrived(Route->Priority_, Now);
   return Request;
 }
 
@@ -172,8 +177,9 @@
   SlackShares_.clear();
   for (const std::pair<const ServiceName, std::vector<AssignedHost>> &Service :
        HostsByService) {
-    findOrCreateService(Service.first)
-        .Balancer_.setAssignedHosts(Service.second);
+    ServiceState &State = findOrCreateService(Service.first);
+    State.Balancer_.setAssignedHosts(Service.second);
+    State.CallerHosts_ = std::max<std::size_t>(1, Service.second.size());
     if (std::any_of(Service.second.begin(), Service.second.end(),
                     [&](const AssignedHost &Host) {
                       return Host.Id_ == Options_.Host_;
@@ -267,9 +273,11 @@
   GatewayAttempt Attempt{Pick.Target_, Now, Pick.IsTrial_, IsResend,
                          std::nullopt};
   State.Balancer_.attemptStarted(Pick.Target_.Id_, Now);
+  State.Wait_.attemptStarted(State.Queue_.empty(), Now);
+  Request.HasResendPaid_ = false;
   Request.Tried_.insert(Pick.Target_.Id_);
   ++Request.InProgress_;
-  if (Request.Route_->Idempotent_ && !Request.IsHedged_ &&
+  if (Request.Route_->isIdempotent() && !Request.IsHedged_ &&
       Request.Route_->MaxTargets_ > Request.Sent_ + Request.InProgress_)
     Attempt.HedgeAt_ = Now + hedgeDelay(*Request.Route_);
   return Attempt;
@@ -281,7 +289,7 @@
   PickConstraints Constraints;
   Constraints.Tried_ = Request.Tried_;
   Constraints.IsRetryable_ =
-      Request.Route_->Idempotent_ &&
+      Request.Route_->isIdempotent() &&
       Request.Route_->MaxTargets_ > Request.Sent_ + 1 &&
       State.Budget_.available(resendLimits(Request.Service_), Now) >=
           TrialReserve;
@@ -294,7 +302,7 @@
                                   TimePoint Now) {
   const PickConstraints Constraints = pickConstraints(Request, State, Now);
   if (Constraints.TimeLeft_ <= DeliveryTime)
-    return refusalFor(Request);
+    return refusalFor(Request, Now);
   const std::optional<TargetPick> Pick =
       State.Balancer_.pick(Constraints, Now, Random_);
   if (Pick)
@@ -302,27 +310,75 @@
   if (!State.Balancer_.hasUntriedTarget(Constraints, Now))
     return Request.Tried_.empty()
                ? refuse(ResultCode::NoTarget, StateRetryAfter)
-               : refusalFor(Request);
-  if (static_cast<double>(Constraints.Usual_.count()) >
-      static_cast<double>(Constraints.TimeLeft_.count()) * DeadlineSlackFactor)
-    return refusalFor(Request);
+               : refusalFor(Request, Now);
   return QueuedForTarget{};
 }
 
+/// Decides about a request for which no target has room: it stays queued, or is
+/// refused at once when it has no chance.
+Placement GatewayCore::placeQueued(GatewayRequest &Request, ServiceState &State,
+                                   std::size_t Ahead, TimePoint Now) {
+  if (canBeServedInTime(Request, State, Ahead, Now))
+    return QueuedForTarget{};
+  return placeAsLastResort(Request, State, Now);
+}
+
 Placement GatewayCore::place(const std::shared_ptr<GatewayRequest> &Request,
                              TimePoint Now) {
   ServiceState &State = findOrCreateService(Request->Service_);
   // Requests that are already queued are placed before a new one.
   Placement Result = State.Queue_.empty() ? tryToPlace(*Request, State, Now)
                                           : Placement(QueuedForTarget{});
-  if (std::holds_alternative<QueuedForTarget>(Result)) {
-    Request->IsQueued_ = true;
-    State.Queue_.push_back(Request);
-    State.Balancer_.setHasWaitingRequests(true);
-  }
+  if (!std::holds_alternative<QueuedForTarget>(Result))
+    return Result;
+  State.Queue_.push_back(Request);
+  sortQueue(State, Now);
+  const std::vector<std::shared_ptr<GatewayRequest>>::iterator It =
+      std::find(State.Queue_.begin(), State.Queue_.end(), Request);
+  Result = placeQueued(
+      *Request, State,
+      static_cast<std::size_t>(std::distance(State.Queue_.begin(), It)), Now);
+  Request->IsQueued_ = std::holds_alternative<QueuedForTarget>(Result);
+  if (!Request->IsQueued_)
+    State.Queue_.erase(It);
+  queueChanged(State, Now);
   return Result;
 }
 
+void GatewayCore::queueChanged(ServiceState &State, TimePoint Now) {
+  State.Balancer_.setHasWaitingRequests(!State.Queue_.empty());
+  State.Wait_.setQueueEmpty(State.Queue_.empty(), Now);
+}
+
+/// This host's part of the rate at which the service's targets complete
+/// requests, if its hosts have about the same load.
+double GatewayCore::expectedDepartureRate(const ServiceState &State,
+                                          TimePoint Now) {
+  return State.Balancer_.completionRate(Now) /
+         static_cast<double>(State.CallerHosts_);
+}
+
+/// True when a request with `Ahead` others before it in the queue can meet its
+/// latency objective or, if no longer that, still its deadline.
+bool GatewayCore::canBeServedInTime(const GatewayRequest &Request,
+                                    const ServiceState &State,
+                                    std::size_t Ahead, TimePoint Now) const {
+  const VirtualRoute &Route = *Request.Route_;
+  const Duration Latency = expectedLatency(Route);
+  const double Rate = expectedDepartureRate(State, Now);
+  const QueuePosition Position{Ahead, Route.Priority_, false};
+  const TimePoint ObjectiveAt =
+      std::min(Request.ArrivedAt_ + Route.Objective_, Request.DeadlineAt_);
+  if (State.Wait_.expectedWait(Position, Rate, Now) <=
+      ObjectiveAt - Latency - Now)
+    return true;
+  const QueuePosition LatePosition{Ahead, Route.Priority_, true};
+  const Duration ShortLatency(static_cast<Duration::rep>(
+      static_cast<double>(Latency.count()) / DeadlineSlackFactor));
+  return State.Wait_.expectedWait(LatePosition, Rate, Now) <=
+         Request.DeadlineAt_ - ShortLatency - Now;
+}
+
 /// Sorts the queue. Requests that can still meet their route's latency
 /// objective come first, ordered by priority and then by the time at which the
 /// objective is missed. The others follow by priority and then by deadline.
@@ -341,20 +397,22 @@
                    });
 }
 
-/// Sends an idempotent request that has not been sent yet to an ejected target
-/// rather than refusing it. A request that is not idempotent is refused: its
-/// caller then knows that it did not run.
+/// Sends an idempotent request to an ejected target rather than refusing it: a
+/// gray target serves some requests. A resend is spent that way only when all
+/// targets are ejected. A request that is not idempotent is refused: its caller
+/// then knows that it did not run.
 Placement GatewayCore::placeAsLastResort(GatewayRequest &Request,
                                          ServiceState &State, TimePoint Now) {
-  if (!Request.Route_->Idempotent_ || Request.Sent_ > 0)
-    return refusalFor(Request);
+  if (!Request.Route_->isIdempotent() ||
+      (Request.Sent_ > 0 && !State.Balancer_.areAllEjected(Now)))
+    return refusalFor(Request, Now);
   PickConstraints Constraints = pickConstraints(Request, State, Now);
   Constraints.IsLastResort_ = true;
   const std::optional<TargetPick> Pick =
       State.Balancer_.pick(Constraints, Now, Random_);
   if (!Pick)
-    return refusalFor(Request);
-  return startAttempt(Request, State, *Pick, false, Now);
+    return refusalFor(Request, Now);
+  return startAttempt(Request, State, *Pick, Request.Sent_ > 0, Now);
 }
 
 void GatewayCore::drainQueue(ServiceState &State, TimePoint Now,
@@ -367,30 +425,21 @@
   for (const std::shared_ptr<GatewayRequest> &Request : State.Queue_) {
     // Once one request finds no free slot, those behind it could only take the
     // slots of trials, so they are only checked against their deadlines.
-    const Placement Result = IsFull ? Placement(QueuedForTarget{})
-                                    : tryToPlace(*Request, State, Now);
-    if (!std::holds_alternative<QueuedForTarget>(Result)) {
-      Request->IsQueued_ = false;
-      Placed.emplace_back(Request, Result);
-      continue;
+    Placement Result = IsFull ? Placement(QueuedForTarget{})
+                              : tryToPlace(*Request, State, Now);
+    if (std::holds_alternative<QueuedForTarget>(Result)) {
+      IsFull = true;
+      Result = placeQueued(*Request, State, StillQueued.size(), Now);
     }
-    IsFull = true;
-    const double Ahead = static_cast<double>(StillQueued.size());
-    const double Wait =
-        Ahead / std::max(1.0, State.Balancer_.completionRate(Now));
-    const double Latency =
-        std::chrono::duration<double>(meanLatency(*Request->Route_)).count();
-    const double TimeLeft =
-        std::chrono::duration<double>(Request->DeadlineAt_ - Now).count();
-    if (Wait + Latency / DeadlineSlackFactor > TimeLeft) {
-      Request->IsQueued_ = false;
-      Placed.emplace_back(Request, placeAsLastResort(*Request, State, Now));
+    if (std::holds_alternative<QueuedForTarget>(Result)) {
+      StillQueued.push_back(Request);
       continue;
     }
-    StillQueued.push_back(Request);
+    Request->IsQueued_ = false;
+    Placed.emplace_back(Request, Result);
   }
   State.Queue_ = std::move(StillQueued);
-  State.Balancer_.setHasWaitingRequests(!State.Queue_.empty());
+  queueChanged(State, Now);
 }
 
 GatewayCore::PlacedRequests GatewayCore::placeQueuedRequests(TimePoint Now) {
@@ -400,19 +449,22 @@
   return Placed;
 }
 
-void GatewayCore::removeFromQueue(const GatewayRequest &Request) {
+void GatewayCore::removeFromQueue(GatewayRequest &Request, TimePoint Now) {
   if (!Request.IsQueued_)
     return;
-  std::erase_if(findOrCreateService(Request.Service_).Queue_,
+  Request.IsQueued_ = false;
+  ServiceState &State = findOrCreateService(Request.Service_);
+  std::erase_if(State.Queue_,
                 [&](const std::shared_ptr<GatewayRequest> &Queued) {
                   return Queued.get() == &Request;
                 });
+  queueChanged(State, Now);
 }
 
 std::optional<GatewayAttempt> GatewayCore::placeHedge(GatewayRequest &Request,
                                                       TimePoint Now) {
   ServiceState &State = findOrCreateService(Request.Service_);
-  if (Request.IsHedged_ || !Request.Route_->Idempotent_ ||
+  if (Request.IsHedged_ || !Request.Route_->isIdempotent() ||
       Request.Sent_ + Request.InProgress_ >= Request.Route_->MaxTargets_ ||
       Request.DeadlineAt_ - Now < MinResendTime ||
       State.Budget_.available(resendLimits(Request.Service_), Now) <
@@ -421,7 +473,7 @@
   const std::optional<TargetPick> Pick =
       State.Balancer_.pick(pickConstraints(Request, State, Now), Now, Random_);
   if (!Pick || State.Balancer_.isEjected(Pick->Target_.Id_) ||
-      !State.Budget_.tryConsume(resendLimits(Request.Service_), Now))
+      !State.Budget_.tryConsume(resendLimits(Request.Service_), Now, Random_))
     return std::nullopt;
   Request.IsHedged_ = true;
   return startAttempt(Request, State, *Pick, true, Now);
@@ -433,13 +485,14 @@
                                           std::optional<ReportedLoad> Load,
                                           TimePoint Now) {
   --Request.InProgress_;
-  const AttemptEvidence Evidence =
-      classifyAttempt(Request, Attempt, Outcome, Now);
   TargetBalancer &Balancer = findOrCreateService(Request.Service_).Balancer_;
-  Balancer.attemptEnded(Attempt.Target_.Id_, Attempt.StartedAt_, Evidence,
-                        meanLatency(*Request.Route_), Load, Now);
+  const AttemptEvidence Evidence =
+      Balancer.attemptEnded(Attempt.Target_.Id_, Attempt.StartedAt_,
+                            classifyAttempt(Request, Attempt, Outcome, Now),
+                            meanLatency(*Request.Route_), Load, Now);
   if (Outcome == AttemptOutcome::Success)
     recordLatency(*Request.Route_, Now - Attempt.StartedAt_);
+  Request.IsLostTrial_ = Attempt.IsTrial_ && Outcome != AttemptOutcome::Success;
   if (Outcome == AttemptOutcome::NotConnected)
     ++Request.FailedConnects_;
   else
@@ -473,15 +526,17 @@
   if (Request.InProgress_ > 0)
     return GatewayDecision{GatewayStep::Wait, {}, std::nullopt};
   const bool HasTime = Request.DeadlineAt_ - Now >= MinResendTime;
-  const bool MayRepeat = Request.Route_->Idempotent_ || !Request.MayHaveRun_;
+  const bool MayRepeat = Request.Route_->isIdempotent() || !Request.MayHaveRun_;
   if (HasTime && MayRepeat && Outcome != AttemptOutcome::TimedOut) {
     if (Outcome == AttemptOutcome::NotConnected &&
         Request.FailedConnects_ <= MaxFailedConnects)
       return GatewayDecision{GatewayStep::Resend, {}, std::nullopt};
     if (Request.Sent_ < Request.Route_->MaxTargets_ &&
         findOrCreateService(Request.Service_)
-            .Budget_.tryConsume(resendLimits(Request.Service_), Now))
+            .Budget_.tryConsume(resendLimits(Request.Service_), Now, Random_)) {
+      Request.HasResendPaid_ = true;
       return GatewayDecision{GatewayStep::Resend, {}, std::nullopt};
+    }
   }
   if (Outcome == AttemptOutcome::Failure)
     return GatewayDecision{GatewayStep::Deliver, {}, std::nullopt};
@@ -489,23 +544,41 @@
     return GatewayDecision{GatewayStep::Fail,
                            refuse(ResultCode::BackendBroken, std::nullopt),
                            std::nullopt};
-  return GatewayDecision{GatewayStep::Fail, refusalFor(Request), std::nullopt};
+  return GatewayDecision{GatewayStep::Fail, refusalFor(Request, Now),
+                         std::nullopt};
 }
 
-GatewayRefusal GatewayCore::refusalFor(const GatewayRequest &Request) const {
+GatewayRefusal GatewayCore::refusalFor(const GatewayRequest &Request,
+                                       TimePoint Now) const {
   if (Request.MayHaveRun_ || Request.InProgress_ > 0)
     return refuse(ResultCode::BackendTimeout, std::nullopt);
-  const TargetBalancer *Balancer = balancer(Request.Service_);
-  const Duration RetryAfter =
-      Balancer ? std::max(MinRetryAfter,
-                          Balancer->expectedTimeToFreeSlot(Request.ArrivedAt_))
-               : StateRetryAfter;
-  return refuse(ResultCode::BackendRefused, RetryAfter);
+  const std::map<ServiceName, ServiceState>::const_iterator It =
+      Services_.find(Request.Service_);
+  if (It == Services_.end())
+    return refuse(ResultCode::BackendRefused, StateRetryAfter);
+  // The time until all requests that are queued now have left the queue. The
+  // callers that were refused first are asked to return first.
+  const ServiceState &State = It->second;
+  const double Rate =
+      State.Wait_.departureRate(expectedDepartureRate(State, Now), Now);
+  const double Seconds =
+      static_cast<double>(State.Queue_.size()) / std::max(Rate, 1e-3);
+  const double MaxSeconds =
+      std::chrono::duration<double>(MaxRetryAfter).count();
+  constexpr double MicrosecondsPerSecond = 1e6;
+  return refuse(ResultCode::BackendRefused,
+                std::max(MinRetryAfter, Duration(static_cast<Duration::rep>(
+                                            std::min(Seconds, MaxSeconds) *
+                                            MicrosecondsPerSecond))));
 }
 
 void GatewayCore::requestEnded(const GatewayRequest &Request, bool Served,
                                TimePoint Now) {
-  findOrCreateService(Request.Service_).Balancer_.requestEnded(Served, Now);
+  ServiceState &State = findOrCreateService(Request.Service_);
+  if (Served || !Request.IsLostTrial_)
+    State.Balancer_.requestEnded(Served, Now);
+  if (Request.HasResendPaid_)
+    State.Budget_.refund(Now);
 }
 
 std::map<ServiceName, RequestOutcomeCounts>
@@ -538,6 +611,19 @@
     It->second.Balancer_.applyPeerObservation(Id, Observation, Now);
 }
 
+std::string GatewayCore::describeQueue(const ServiceName &Name,
+                                       TimePoint Now) const {
+  const std::map<ServiceName, ServiceState>::const_iterator It =
+      Services_.find(Name);
+  if (It == Services_.end())
+    return "none";
+  const ServiceState &State = It->second;
+  const double Expected = expectedDepartureRate(State, Now);
+  return std::to_string(State.Queue_.size()) + "," +
+         std::to_string(std::lround(State.Wait_.departureRate(Expected, Now))) +
+         "," + std::to_string(std::lround(Expected));
+}
+
 const TargetBalancer *GatewayCore::balancer(const ServiceName &Name) const {
   const std::map<ServiceName, ServiceState>::const_iterator It =
       Services_.find(Name);
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -360,6 +360,10 @@
          {"status", std::to_string(Status)},
          {"code", resultCodeName(Code)},
          {"sent", std::to_string(Request_ ? Request_->Sent_ : 0)},
+         {"queue", Request_
+                       ? Dependencies_.Core_.describeQueue(
+                             Request_->Service_, Dependencies_.Timers_.now())
+                       : "none"},
          {"ms", std::to_string(
                     toMilliseconds(Dependencies_.Timers_.now() - ArrivedAt_))},
          {"deadline_ms", Head.TimeLeft_
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -49,6 +49,26 @@
 /// Requests that may wait at a target beyond its slots. Requests that wait at
 /// the hosts instead can still go to other targets, and in a better order.
 constexpr double MaxWaitingAtTarget = 1;
+/// While requests wait at this host, they probably wait at the other hosts too.
+/// These then fill the slots that become free, so the load that a target
+/// reported falls at this share of its service rate only, and requests wait at
+/// the hosts, where they keep their order.
+constexpr double BusyCompletionShare = 0.2;
+constexpr double MaxWaitingAtBusyTarget = 0.5;
+/// A target that refuses a request although it has free slots sheds load at
+/// random. The share of its refusals has this time constant and weight of a new
+/// sample, and a refusal costs as much as this many times a request's time: it
+/// uses up the resend budget, or the request fails.
+constexpr double ShedDecaySeconds = 4;
+constexpr double ShedWeight = 0.25;
+constexpr double ShedCost = 3;
+/// A target to which this host has sent nothing for this time, for each host
+/// that shares the service, is cheaper by the bonus in request times. Without
+/// it, a large service with little load uses its fastest targets only: a third
+/// of the others got no request for the two seconds over which the floor is
+/// judged. The hosts together send each target about one request a second.
+constexpr Duration IdleTimePerHost = std::chrono::seconds(1);
+constexpr double IdleBonus = 0.5;
 /// A target that has requests in progress is avoided as silent when it has
 /// given no answer for this many times the mean latency, and at least for
 /// MinSilence.
@@ -84,8 +104,9 @@
   // The target has completed requests since the report. Requests that other
   // hosts have sent since then are not known.
   constexpr double MicrosecondsPerSecond = 1e6;
-  const double Completed =
-      Age * Target.Entry_.Slots_ * MicrosecondsPerSecond / MeanLatencyUs_;
+  const double Completed = Age * Target.Entry_.Slots_ * MicrosecondsPerSecond /
+                           MeanLatencyUs_ *
+                           (HasWaitingRequests_ ? BusyCompletionShare : 1);
   return Own + std::max(0.0, Target.PeerLoad_ - Completed);
 }
 
@@ -108,6 +129,19 @@
                                   std::max(0.0, Load + 1 - Slots) / Slots);
 }
 
+double TargetBalancer::shedShare(const State &Target, TimePoint Now) {
+  return Target.ShedShare_ *
+         std::exp(-toSeconds(Now - Target.ShedAt_) / ShedDecaySeconds);
+}
+
+/// Records whether a target that had free slots refused a request.
+void TargetBalancer::recordShedding(State &Target, bool Refused,
+                                    TimePoint Now) {
+  const double Before = shedShare(Target, Now);
+  Target.ShedShare_ = Before + ((Refused ? 1 : 0) - Before) * ShedWeight;
+  Target.ShedAt_ = Now;
+}
+
 bool TargetBalancer::isSilent(const State &Target, TimePoint Now) const {
   if (Target.Running_.empty())
     return false;
@@ -118,7 +152,9 @@
 }
 
 bool TargetBalancer::hasRoom(const State &Target, TimePoint Now) const {
-  return load(Target, Now) < Target.Entry_.Slots_ + MaxWaitingAtTarget &&
+  return load(Target, Now) < Target.Entry_.Slots_ +
+                                 (HasWaitingRequests_ ? MaxWaitingAtBusyTarget
+                                                      : MaxWaitingAtTarget) &&
          Now >= Target.RefusingUntil_;
 }
 
@@ -160,9 +196,12 @@
 
 double TargetBalancer::completionRate(TimePoint Now) const {
   double Slots = 0;
-  for (const std::pair<const TargetId, State> &Entry : States_)
-    if (!Entry.second.isUnavailable(Now) && !Entry.second.Ejected_)
-      Slots += Entry.second.Entry_.Slots_ / slowness(Entry.second, Now);
+  for (const std::pair<const TargetId, State> &Entry : States_) {
+    const State &Target = Entry.second;
+    if (!Target.isUnavailable(Now))
+      Slots += Target.Entry_.Slots_ / slowness(Target, Now) *
+               (Target.Ejected_ ? servedShare(Target) : 1);
+  }
   constexpr double MicrosecondsPerSecond = 1e6;
   return Slots * MicrosecondsPerSecond / MeanLatencyUs_;
 }
@@ -177,6 +216,8 @@
   double BestCost = 0;
   constexpr double JitterShare = 0.02;
   const State *FloorTrial = floorTrialTarget(Constraints, Now);
+  const Duration IdleTime =
+      IdleTimePerHost * std::max<std::size_t>(1, AssignedHosts_.size());
   for (std::pair<const TargetId, State> &Entry : States_) {
     State &Target = Entry.second;
     if (Target.isUnavailable(Now) || Constraints.Tried_.count(Entry.first))
@@ -193,7 +234,7 @@
         static_cast<double>(Constraints.TimeLeft_.count()) *
             DeadlineSlackFactor)
       continue;
-    double Cost = expectedTime(Target, Now);
+    double Cost = expectedTime(Target, Now) + ShedCost * shedShare(Target, Now);
     if (Target.Entry_.Domain_ != OwnDomain_)
       Cost += CrossDomainCost;
     if (Target.Failures_ > 0 && !Target.Running_.empty())
@@ -203,6 +244,8 @@
       Cost += SilentPenalty;
     if (Target.Ejected_)
       Cost += SilentPenalty * (2 - servedShare(Target));
+    if (Now - Target.SentAt_ > IdleTime)
+      Cost -= IdleBonus;
     Cost *= 1 + JitterShare * static_cast<double>(Random.below(1'000)) / 1'000;
     if (!Best || Cost < BestCost) {
       Best = &Target;
@@ -225,8 +268,8 @@
                                TimePoint Now) {
   const State *Best = nullptr;
   for (const std::pair<const TargetId, State> &Entry : States_)
-    if (!Entry.second.isUnavailable(Now) &&
-        !Constraints.Tried_.count(Entry.first) &&
+    if (Entry.second.Ejected_ && !Entry.second.isUnavailable(Now) &&
+        hasRoom(Entry.second, Now) && !Constraints.Tried_.count(Entry.first) &&
         (!Best || Entry.second.FailedAt_ < Best->FailedAt_))
       Best = &Entry.second;
   if (!Best)
@@ -236,22 +279,27 @@
 
 void TargetBalancer::attemptStarted(const TargetId &Id, TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
-  if (It != States_.end())
-    It->second.Running_.insert(Now);
+  if (It == States_.end())
+    return;
+  It->second.Running_.insert(Now);
+  It->second.SentAt_ = Now;
 }
 
-void TargetBalancer::attemptEnded(const TargetId &Id, TimePoint StartedAt,
-                                  AttemptEvidence Evidence, Duration Usual,
-                                  std::optional<ReportedLoad> Load,
-                                  TimePoint Now) {
+AttemptEvidence
+TargetBalancer::attemptEnded(const TargetId &Id, TimePoint StartedAt,
+                             AttemptEvidence Evidence, Duration Usual,
+                             std::optional<ReportedLoad> Load, TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
   if (It == States_.end())
-    return;
+    return Evidence;
   State &Target = It->second;
   const std::multiset<TimePoint>::iterator Attempt =
       Target.Running_.find(StartedAt);
   if (Attempt != Target.Running_.end())
     Target.Running_.erase(Attempt);
+  if (Target.OnTrial_ && Target.IsUnresponsive_ &&
+      Evidence != AttemptEvidence::None)
+    recordTrialOfUnresponsive(Evidence == AttemptEvidence::Answered);
   Target.OnTrial_ = false;
   if (Evidence == AttemptEvidence::Answered ||
       Evidence == AttemptEvidence::FailedLate ||
@@ -274,13 +322,38 @@
       Target.SlownessAt_ = Now;
     }
   }
+  const bool HadFreeSlot =
+      Load && Load->Waiting_ == 0 && Load->Running_ < Target.Entry_.Slots_;
+  if (Evidence == AttemptEvidence::Refused && HadFreeSlot)
+    recordShedding(Target, true, Now);
+  else if (Evidence == AttemptEvidence::Refused)
+    Target.RefusingUntil_ = Now + RefusalPause;
+  else if (Evidence == AttemptEvidence::Answered ||
+           Evidence == AttemptEvidence::FailedLate)
+    recordShedding(Target, false, Now);
+  if (Evidence == AttemptEvidence::Silent &&
+      !showsSilence(Target, StartedAt, Now))
+    return AttemptEvidence::None;
   applyEvidence(Target, Evidence, StartedAt, Now);
+  return Evidence;
+}
+
+/// A target that has answered other requests meanwhile is slow or full, not
+/// failed. An attempt of less than twice the mean latency, or of less than
+/// MinSilence, was too short to tell.
+bool TargetBalancer::showsSilence(const State &Target, TimePoint StartedAt,
+                                  TimePoint Now) const {
+  return Target.AnsweredAt_ <= StartedAt &&
+         Now - StartedAt >=
+             std::max(MinSilence,
+                      Duration(static_cast<Duration::rep>(MeanLatencyUs_ * 2)));
 }
 
 void TargetBalancer::applyEvidence(State &Target, AttemptEvidence Evidence,
                                    TimePoint StartedAt, TimePoint Now) {
   switch (Evidence) {
   case AttemptEvidence::Answered:
+    Target.IsUnresponsive_ = false;
     Target.Suspicion_ = 0;
     // A request sent before the failure does not show that the target has
     // recovered since.
@@ -288,18 +361,16 @@
       recordSuccess(Target, Now);
     break;
   case AttemptEvidence::Failed:
+    Target.IsUnresponsive_ = false;
+    eject(Target, Now);
+    break;
   case AttemptEvidence::Unreachable:
+    Target.IsUnresponsive_ = true;
     eject(Target, Now);
     break;
   case AttemptEvidence::Silent:
-    // A target that has answered other requests meanwhile is slow or full, not
-    // failed. An attempt of less than twice the mean latency, or of less than
-    // MinSilence, was too short to tell.
-    if (Target.AnsweredAt_ <= StartedAt &&
-        Now - StartedAt >=
-            std::max(MinSilence,
-                     Duration(static_cast<Duration::rep>(MeanLatencyUs_ * 2))))
-      eject(Target, Now);
+    Target.IsUnresponsive_ = true;
+    eject(Target, Now);
     break;
   case AttemptEvidence::FailedLate:
     raiseSuspicion(Target, OwnSuspicion, Now);
@@ -308,8 +379,6 @@
     Target.GoneUntil_ = Now + GonePause;
     break;
   case AttemptEvidence::Refused:
-    Target.RefusingUntil_ = Now + RefusalPause;
-    break;
   case AttemptEvidence::None:
     break;
   }
@@ -323,6 +392,7 @@
     return;
   switch (Observation) {
   case TargetObservation::Failed:
+    It->second.IsUnresponsive_ = false;
     return eject(It->second, Now);
   case TargetObservation::SuspectedFailure:
     return raiseSuspicion(It->second, PeerSuspicion, Now);
