Cut endless answers, tell answers without an id apart, survive a failing handler

Looked for what operators of similar systems reported: - A late second copy of an answer: one without the request's id was accepted on a connection in use again, as an answer or as a refusal that claims not-run. Such a response now breaks the call; a request without an id gets a new connection. - Bytes without end: a body was held up to 64 MB, and skipped answers were not counted. One answer is now bounded by a sixteenth of the host's memory, all by a quarter, skipped ones by 16 in a call. Head, status line and chunk extension were bounded already. - One unexpected exception in a handler ended the process. The event loop logs it and goes on; timers and datagrams are rearmed before their handlers run. - A planned stop dropped requests that were received when the loop stopped. The handlers that are ready still run. - A caller that sent a few bytes at a time extended the timeout of its head. - An answer that breaks off halfway is a failure (tests existed); a host keeps nothing over a restart and reads the store before it serves.

Tests, each seen to fail with its guard taken out: AnswersWithoutRequestId AreFailures, RefusalWithoutRequestIdDoesNotClaimNotRun, RequestWithoutIdUsesA FreshConnection, EndlessAnswersAreCut.

--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -39,7 +39,9 @@
   Result<void> listen();
   void awaitSignal();
   void receiveDatagram();
-  void handleDatagram(const std::string &Bytes);
+  void handleDatagram(const std::string &Bytes,
+                      const std::string &SenderAddress);
+  void handlerFailed(const char *Text);
   void send(const std::string &Address, const PeerDatagram &Message);
   void sendBytes(const std::string &Address, const std::string &Bytes);
   void send(const std::vector<OutgoingProbe> &Probes);
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -49,6 +49,7 @@
   Metrics &Metrics_;
   EvidenceSink &EvidenceSink_;
   GatewayHeaders Headers_;
+  std::uint64_t MaxAnswerBytes_ = 8 << 20; ///< Longest answer of a target.
 };
 
 class ActiveGatewayRequest;
--- a/include/kumquatpitch/gateway-settings.h
+++ b/include/kumquatpitch/gateway-settings.h
@@ -21,6 +21,7 @@
   FailureDomain Domain_;
   /// Processor time available to the host, in cores.
   double ProcessorCores_ = 1;
+  std::uint64_t MemoryBytes_ = 256 << 20; ///< Memory available to the host.
   std::string Address_;           ///< IP address of all ports of the host.
   Endpoint Front_;                ///< Accepts callers' requests.
   Endpoint Ready_;                ///< Answers readiness checks.
--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -43,8 +43,9 @@
   /// A connection is reused only if it has been idle for less than this.
   Duration MaxIdle_{};
   /// Header in which the response repeats `EchoValue_`. A response with another
-  /// value belongs to an earlier request and is skipped; one without the header
-  /// is accepted. If the name is empty, nothing is checked.
+  /// value belongs to an earlier request and is skipped. One without the header
+  /// belongs to no request: the call is broken, unless the connection is new
+  /// and the response is a failure. If the name is empty, nothing is checked.
   std::string EchoHeader_;
   std::string EchoValue_;
   std::uint64_t MaxAnswerBytes_ = 0;
@@ -80,6 +81,13 @@
 
   std::size_t idleConnections() const;
 
+  /// Limits the bytes of bodies that all calls in progress hold together. A
+  /// call that exceeds it is broken.
+  void setMaxBufferedBytes(std::uint64_t Limit) { MaxBufferedBytes_ = Limit; }
+
+  /// Bytes of bodies that the calls in progress hold.
+  std::uint64_t bufferedBytes() const { return BufferedBytes_; }
+
 private:
   friend class HttpClientConnection;
 
@@ -88,6 +96,8 @@
   void removeIdle(const HttpClientConnection *Connection);
 
   asio::io_context &Context_;
+  std::uint64_t MaxBufferedBytes_ = 64 << 20;
+  std::uint64_t BufferedBytes_ = 0; ///< Sum of all calls in progress.
   /// Idle connections by server, the most recently used one at the end.
   std::map<Endpoint, std::list<std::shared_ptr<HttpClientConnection>>> Idle_;
 };
--- a/src/asio-timer-service.cc
+++ b/src/asio-timer-service.cc
@@ -38,10 +38,14 @@
       [this, Id, Subscriber](const std::error_code &Error) {
         if (Error)
           return;
-        Subscriber->Callback_(now());
-        const std::lock_guard<std::mutex> Lock(Mutex_);
-        if (Entries_.count(Id))
-          scheduleNext(Id, Subscriber);
+        // Scheduled first: the callback may throw.
+        const TimePoint Now = now();
+        {
+          const std::lock_guard<std::mutex> Lock(Mutex_);
+          if (Entries_.count(Id))
+            scheduleNext(Id, Subscriber);
+        }
+        Subscriber->Callback_(Now);
       });
 }
 
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -4,6 +4,7 @@
 
 #include "kumquatpitch/caller-hosts.h"
 #include "kumquatpitch/metrics-format.h"
+#include "kumquatpitch/run-loop.h"
 
 #include <algorithm>
 #include <chrono>
@@ -41,6 +42,13 @@
 /// is published almost all the time.
 constexpr Duration WatchTimeout = std::chrono::milliseconds(200);
 
+/// Parts of the host's memory for the answers of targets in progress: one, and
+/// all together. A target may send bytes without end.
+constexpr std::uint64_t MemoryPerAnswerDivisor = 16;
+constexpr std::uint64_t MemoryForAnswersDivisor = 4;
+/// How long requests that were received when the daemon ends are still handled.
+constexpr Duration FinalRunTime = std::chrono::milliseconds(100);
+
 /// The incarnation is the start time in milliseconds since the Unix epoch.
 Incarnation startTime() {
   return static_cast<Incarnation>(
@@ -153,15 +161,19 @@
       Store_(Platform.openStore(StoreClient_, Settings_.Store_)),
       Membership_(makeSelf(Settings_), Random_), Follower_(Settings_.Id_),
       Core_(gatewayTerms(Settings_), Random_),
-      Front_(GatewayDependencies{Context_, Timers_, Core_, TargetClient_, Log_,
-                                 Metrics_, *this, Platform.headers()}),
+      Front_(GatewayDependencies{
+          Context_, Timers_, Core_, TargetClient_, Log_, Metrics_, *this,
+          Platform.headers(), Settings_.MemoryBytes_ / MemoryPerAnswerDivisor}),
       DirectoryHandler_(std::make_unique<DirectoryHandler>(*this)),
       MetricsHandler_(std::make_unique<MetricsHandler>(*this)),
       FrontServer_(Context_, Front_),
       ReadyServer_(Context_, *DirectoryHandler_),
       DirectoryServer_(Context_, *DirectoryHandler_),
       MetricsServer_(Context_, *MetricsHandler_), Datagrams_(Context_),
-      Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {}
+      Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
+  TargetClient_.setMaxBufferedBytes(Settings_.MemoryBytes_ /
+                                    MemoryForAnswersDivisor);
+}
 
 GatewayDaemon::~GatewayDaemon() = default;
 
@@ -206,7 +218,11 @@
   Timers_.subscribe(SettingsCheckPeriod,
                     [this](TimePoint) { checkSettings(false); });
   tick();
-  Context_.run();
+  const HandlerFailed OnFailure = [this](const char *Text) {
+    handlerFailed(Text);
+  };
+  runUntilStopped(Context_, OnFailure);
+  runReadyHandlers(Context_, FinalRunTime, OnFailure);
   Log_.write(
       LogLevel::Info, "daemon", "stopped",
       {{"requests_cut", std::to_string(FrontServer_.requestsInProgress())}});
@@ -214,6 +230,11 @@
   return {};
 }
 
+void GatewayDaemon::handlerFailed(const char *Text) {
+  Metrics_.count("handlers_failed");
+  Log_.write(LogLevel::Error, "daemon", "handler_failed", {{"detail", Text}});
+}
+
 void GatewayDaemon::awaitSignal() {
   Signals_.async_wait([this](const asio::error_code &Error, int Signal) {
     if (Error)
@@ -232,13 +253,17 @@
       [this](const asio::error_code &Error, std::size_t Size) {
         if (Error == asio::error::operation_aborted)
           return;
-        if (!Error)
-          handleDatagram(std::string(DatagramBuffer_.data(), Size));
+        // The next datagram is awaited first: handling this one may throw.
+        const std::string Bytes(DatagramBuffer_.data(), Error ? 0 : Size);
+        const std::string SenderAddress = Sender_.address().to_string();
         receiveDatagram();
+        if (!Error)
+          handleDatagram(Bytes, SenderAddress);
       });
 }
 
-void GatewayDaemon::handleDatagram(const std::string &Bytes) {
+void GatewayDaemon::handleDatagram(const std::string &Bytes,
+                                   const std::string &SenderAddress) {
   const TimePoint Now = Timers_.now();
   const std::optional<PeerDatagram> Datagram = handleFailure(
       [&]() -> Result<std::optional<PeerDatagram>> {
@@ -249,7 +274,7 @@
         Metrics_.count("peer_datagrams_malformed");
         Log_.write(LogLevel::Warning, "peer", "malformed",
                    {{"code", resultCodeName(Cause.Code_)},
-                    {"sender", Sender_.address().to_string()},
+                    {"sender", SenderAddress},
                     {"detail", Cause.Message_}});
         return std::nullopt;
       });
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -18,7 +18,6 @@
 /// unknown whether the request ran.
 constexpr Duration MaxIdleNonIdempotent = std::chrono::milliseconds(2'500);
 constexpr Duration MaxIdleIdempotent = std::chrono::seconds(8);
-constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
 /// Waiting requests are reconsidered when an attempt ends, and also at this
 /// interval, because the information about other hosts' load decays over time.
 constexpr Duration ResumePeriod = std::chrono::milliseconds(40);
@@ -162,11 +161,14 @@
     Terms.Endpoint_ = Attempt.Target_.Address_;
     Terms.ConnectTimeout_ = ConnectTimeout;
     Terms.Timeout_ = TimeLeft;
-    Terms.MaxIdle_ = Request_->Route_->isIdempotent() ? MaxIdleIdempotent
-                                                      : MaxIdleNonIdempotent;
+    // Without an id, the answer could not be told from a late copy of another
+    // one on a connection in use again.
+    Terms.MaxIdle_ = Id_.empty()                        ? Duration::zero()
+                     : Request_->Route_->isIdempotent() ? MaxIdleIdempotent
+                                                        : MaxIdleNonIdempotent;
     Terms.EchoHeader_ = Id_.empty() ? "" : Dependencies_.Headers_.RequestId_;
     Terms.EchoValue_ = Id_;
-    Terms.MaxAnswerBytes_ = MaxAnswerBytes;
+    Terms.MaxAnswerBytes_ = Dependencies_.MaxAnswerBytes_;
     const std::size_t Index = Attempts_.size();
     Attempts_.push_back(SentAttempt{Attempt, nullptr});
     const std::shared_ptr<ActiveGatewayRequest> Self = shared_from_this();
--- a/src/gateway-settings.cc
+++ b/src/gateway-settings.cc
@@ -18,6 +18,8 @@
   return Duration(static_cast<Duration::rep>(Seconds * 1e6));
 }
 
+constexpr std::int64_t MaxMemoryMb = 1 << 20;
+
 double toSeconds(Duration Span) {
   return std::chrono::duration<double>(Span).count();
 }
@@ -30,6 +32,9 @@
   Settings.ProcessorCores_ =
       Reader.decimal("host", "processor_share", 0.001, 1, 1) *
       Reader.decimal("host", "processor_cores", 0.001, MaxCores, 1);
+  Settings.MemoryBytes_ = static_cast<std::uint64_t>(Reader.number(
+                              "host", "memory_mb", 16, MaxMemoryMb, 256))
+                          << 20;
   Settings.Address_ = Reader.address("host", "address", "");
   Settings.Front_ = Reader.endpoint("listen", "front");
   Settings.Ready_ = Reader.endpoint("listen", "ready");
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -24,6 +24,9 @@
 constexpr Duration CloseMargin = std::chrono::milliseconds(1'500);
 /// Used if the server states no keep-alive timeout.
 constexpr Duration DefaultReuseTime = std::chrono::seconds(4);
+/// Interim responses and responses to earlier requests that are skipped in one
+/// call. A server may send them without end.
+constexpr int MaxSkippedResponses = 16;
 /// TCP_USER_TIMEOUT: the connection is closed if the other end leaves sent
 /// data unacknowledged for this time.
 constexpr int UserTimeoutMs = 3'000;
@@ -67,6 +70,8 @@
     IsSent_ = false;
     HasResponseBytes_ = false;
     IsWritten_ = false;
+    IsReused_ = IsOpen_;
+    SkippedResponses_ = 0;
     const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
     Timer_.expires_after(Options.Timeout_);
     Timer_.async_wait([Self](const asio::error_code &Error) {
@@ -94,6 +99,7 @@
 
   void close() {
     IsOpen_ = false;
+    countBuffered(0);
     asio::error_code Ignored;
     Socket_.close(Ignored);
     Timer_.cancel();
@@ -194,6 +200,10 @@
       Bytes.remove_prefix(Parser_->feed(Bytes));
       if (Parser_->state() == MessageParser::State::Rejected)
         return fail(CallEnd::Broken, "response is not valid HTTP or too large");
+      countBuffered(Parser_->message().Body_.size());
+      if (Client_.BufferedBytes_ > Client_.MaxBufferedBytes_)
+        return fail(CallEnd::Broken,
+                    "no memory left for responses in progress");
       if (Parser_->state() == MessageParser::State::Complete &&
           completeOrSkip(Bytes))
         return;
@@ -206,22 +216,38 @@
   bool completeOrSkip(std::string_view Rest) {
     const HttpMessage &Response = Parser_->message();
     constexpr int FirstFinalStatus = 200;
+    constexpr int FirstFailureStatus = 300;
     const std::string *EchoedValue =
-        Options_.EchoHeader_.empty() ? nullptr
+        Options_.EchoHeader_.empty() ? &Options_.EchoValue_
                                      : Response.header(Options_.EchoHeader_);
-    if (Response.Status_ < FirstFinalStatus ||
-        (EchoedValue && *EchoedValue != Options_.EchoValue_)) {
-      Parser_->take();
-      return false;
+    const bool IsInterim = Response.Status_ < FirstFinalStatus;
+    if (!IsInterim && !EchoedValue &&
+        (IsReused_ || Response.Status_ < FirstFailureStatus)) {
+      fail(CallEnd::Broken, "response without the id of its request");
+      return true;
     }
-    complete(Rest);
-    return true;
+    if (!IsInterim && (!EchoedValue || *EchoedValue == Options_.EchoValue_)) {
+      complete(Rest);
+      return true;
+    }
+    if (++SkippedResponses_ > MaxSkippedResponses) {
+      fail(CallEnd::Broken, "too many responses to other requests");
+      return true;
+    }
+    Parser_->take();
+    return false;
+  }
+
+  void countBuffered(std::uint64_t Bytes) {
+    Client_.BufferedBytes_ += Bytes - CountedBytes_;
+    CountedBytes_ = Bytes;
   }
 
   void complete(std::string_view Rest) {
     CallResult Result;
     Result.End_ = CallEnd::Answered;
     Result.Answer_ = Parser_->take();
+    countBuffered(0);
     Timer_.cancel();
     ReuseTime_ = reuseTime(Result.Answer_);
     IdleSince_ = std::chrono::steady_clock::now();
@@ -269,6 +295,9 @@
   bool IsWritten_ = false; ///< The whole request has been written.
   bool IsReading_ = false;
   bool HasResponseBytes_ = false;
+  bool IsReused_ = false; ///< It has carried another call before.
+  int SkippedResponses_ = 0;
+  std::uint64_t CountedBytes_ = 0; ///< Its part of Client_.BufferedBytes_.
 };
 
 HttpClient::HttpClient(asio::io_context &Context) : Context_(Context) {}
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -255,10 +255,16 @@
   void updateTimer() {
     if (ClosesAfterWrite_ || IsClosed_)
       return;
+    const bool AwaitsRest = Waiting_.empty() && Parser_.hasBegun();
+    // A request that has begun has one timeout, which further bytes do not
+    // extend.
+    if (AwaitsRest && IsRestTimed_)
+      return;
+    IsRestTimed_ = AwaitsRest;
     if (Waiting_.empty())
       // The timeouts are those of the server's current limits, not Limits_.
-      startTimer(Parser_.hasBegun() ? Server_.Limits_.HeadTimeout_
-                                    : Server_.Limits_.IdleTimeout_);
+      startTimer(AwaitsRest ? Server_.Limits_.HeadTimeout_
+                            : Server_.Limits_.IdleTimeout_);
     else
       Timer_.cancel();
   }
@@ -302,6 +308,7 @@
   bool AcceptsNoMore_ = false; ///< The caller asked to close, or sent a
                                ///< rejected request.
   bool SentContinue_ = false;
+  bool IsRestTimed_ = false; ///< Timer_ runs for the rest of a request.
   bool ClosesAfterWrite_ = false;
 };
 
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -103,6 +103,8 @@
          std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+constexpr std::uint64_t MaxAnswerBytes = 2'000'000;
+
 bool hasCompleteHead(const std::string &Request) {
   return Request.find("\r\n\r\n") != std::string::npos;
 }
@@ -132,11 +134,12 @@
 
   GatewayFront Front_{GatewayDependencies{Context_, Timers_, Core_, Client_,
                                           Log_, Metrics_, EvidenceSink_,
-                                          GatewayHeaders()}};
+                                          GatewayHeaders(), MaxAnswerBytes}};
   HttpServer Server_{Context_, Front_};
   std::unique_ptr<ScriptedTarget> Target_;
   asio::ip::tcp::socket Caller_{Context_};
   std::string Received_;
+  std::uint64_t TargetStarts_ = 0;
   std::array<char, 4'096> Buffer_;
 
   void setup() override {
@@ -154,12 +157,7 @@
       Config.Routes_.push_back(Route);
     }
     Core_.setTable(std::make_shared<const RouteTable>(Config));
-    TargetEntry Entry;
-    Entry.Id_ = TargetId("t0");
-    Entry.Service_ = ServiceName("desk");
-    Entry.Address_ = Endpoint{"127.0.0.1", TargetPort};
-    Entry.Slots_ = 3;
-    Core_.setTargets({{Entry.Id_, Entry}}, Timers_.now());
+    useNewTarget();
     const bool IsListening = handleFailure(
         [&]() -> Result<bool> {
           BOOST_LEAF_CHECK(
@@ -170,6 +168,17 @@
     CHECK(IsListening);
   }
 
+  /// Makes the target a new one, about which nothing is known.
+  void useNewTarget() {
+    TargetEntry Entry;
+    Entry.Id_ = TargetId("t0");
+    Entry.Service_ = ServiceName("desk");
+    Entry.Address_ = Endpoint{"127.0.0.1", TargetPort};
+    Entry.Slots_ = 3;
+    Entry.StartedUnixMs_ = ++TargetStarts_;
+    Core_.setTargets({{Entry.Id_, Entry}}, Timers_.now());
+  }
+
   void teardown() override {
     Target_.reset();
     close(DevNull_);
@@ -289,6 +298,123 @@
   CHECK(EvidenceSink_.LastObservation_ == TargetObservation::Failed);
 }
 
+// Guards against giving a caller the second copy of an earlier answer that
+// comes without a request id on a connection in use again.
+TEST(GatewayFront, AnswersWithoutRequestIdAreFailures) {
+  int Requests = 0;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    ++Requests;
+    sendText(
+        Socket,
+        Requests == 1
+            ? answer(requestIdOf(Request), "first")
+            : std::string("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
+                          "Kumquatpitch-Answer-Signature: s\r\n\r\ncopied"));
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("first"));
+  sendText(Caller_, request("/book/2", "id2", "POST"));
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(Received_.find("copied") == std::string::npos);
+}
+
+// Guards against taking a late refusal of an earlier request for one of the
+// current request, which may run.
+TEST(GatewayFront, RefusalWithoutRequestIdDoesNotClaimNotRun) {
+  int Requests = 0;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    ++Requests;
+    sendText(Socket, Requests == 1
+                         ? answer(requestIdOf(Request), "first")
+                         : std::string("HTTP/1.1 503 Service Unavailable\r\n"
+                                       "Kumquatpitch-Not-Run: 1\r\n"
+                                       "Content-Length: 0\r\n\r\n"));
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("first"));
+  sendText(Caller_, request("/book/2", "id2", "POST"));
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+}
+
+// Guards against giving a caller that sends no request id the late copy of
+// another answer: nothing would tell the two apart on a connection in use
+// again.
+TEST(GatewayFront, RequestWithoutIdUsesAFreshConnection) {
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket, answer(requestIdOf(Request), "body"));
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("body"));
+  Received_.clear();
+  sendText(Caller_, "GET /look/2 HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  CHECK(runUntilReceived("body"));
+  CHECK_EQUAL(2, Target_->accepted());
+}
+
+// Guards against memory and time lost to a target that sends bytes without end:
+// lines before a status line, a status line, a head, a body without a length, a
+// chunk's extension, and interim answers.
+TEST(GatewayFront, EndlessAnswersAreCut) {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> Streams[] = {
+      {"", "\r\n"},
+      {"", "HTTP/1.1 200 "},
+      {Head, "X-Filler: abcdefghijklmnopqrstuvwxyz\r\n"},
+      {Head + "X: ", "abcdefghijklmnopqrstuvwxyz"},
+      {Head + "\r\n", "abcdefghijklmnopqrstuvwxyz"},
+      {Chunked + "5;", "abcdefghijklmnopqrstuvwxyz"},
+      {Chunked, "5\r\nabcde\r\n"},
+      {"", "HTTP/1.1 102 Processing\r\n\r\n"}};
+  for (const std::pair<std::string, std::string> &Stream : Streams) {
+    std::size_t Sent = 0;
+    startTarget([&](ScriptedTarget::Socket &Socket,
+                    const std::string &Request) {
+      if (!hasCompleteHead(Request))
+        return false;
+      std::string Filler;
+      while (Filler.size() < 64'000)
+        Filler += Stream.second;
+      // Sends until the host closes the connection.
+      const std::shared_ptr<std::function<void(std::string)>> Write =
+          std::make_shared<std::function<void(std::string)>>();
+      *Write = [&Socket, &Sent, Filler, Write](std::string Text) {
+        const std::shared_ptr<std::string> Bytes =
+            std::make_shared<std::string>(std::move(Text));
+        asio::async_write(Socket, asio::buffer(*Bytes),
+                          [&Sent, Filler, Write, Bytes](
+                              const asio::error_code &Error, std::size_t Size) {
+                            Sent += Size;
+                            if (!Error)
+                              (*Write)(Filler);
+                            else
+                              *Write = nullptr;
+                          });
+      };
+      (*Write)(Stream.first + Filler);
+      return true;
+    });
+    useNewTarget();
+    Received_.clear();
+    Caller_ = asio::ip::tcp::socket(Context_);
+    call(request("/book/1", "id1", "POST"));
+    CHECK(runUntilReceived("HTTP/1.1 502"));
+    // The socket buffers on the way take up to a few megabytes.
+    CHECK(Sent <= MaxAnswerBytes + 8'000'000);
+    CHECK(runUntil([&] { return Client_.bufferedBytes() == 0; }));
+    Target_.reset();
+  }
+}
+
 TEST(GatewayFront, UnsignedAnswersAreFailures) {
   startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
     if (!hasCompleteHead(Request))
@@ -422,6 +548,27 @@
   CHECK(runUntilReceived("kept"));
 }
 
+// Guards against a caller that holds a connection by sending its request a few
+// bytes at a time.
+TEST(GatewayFront, SlowRequestHasOneTimeout) {
+  CallerLimits Limits;
+  Limits.HeadTimeout_ = std::chrono::milliseconds(150);
+  Server_.setLimits(Limits);
+  call("GET /look/");
+  const bool IsEnded = [&] {
+    for (int Count = 0; Count < 20; ++Count) {
+      asio::error_code Ignored;
+      asio::write(Caller_, asio::buffer("x", 1), Ignored);
+      Context_.restart();
+      Context_.run_for(std::chrono::milliseconds(50));
+      if (Received_.find("HTTP/1.1 408") != std::string::npos)
+        return true;
+    }
+    return false;
+  }();
+  CHECK(IsEnded);
+}
+
 TEST(GatewayFront, PlannedStopClosesConnectionsAfterAnswer) {
   startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
     if (!hasCompleteHead(Request))
--- a/test/gateway-settings-test.cc
+++ b/test/gateway-settings-test.cc
@@ -32,6 +32,7 @@
       {"{{Ip}}", "10.1.0.18"},
       {"{{Limits.CpuShare}}", "0.2"},
       {"{{Limits.Cores}}", "2"},
+      {"{{Limits.MemoryMb}}", "160"},
       {"{{Listen.Front}}", "10.1.0.18:8381"},
       {"{{Listen.Ready}}", "10.1.0.18:8388"},
       {"{{Listen.Directory}}", "10.1.0.18:8383"},
