End the children of a test or demo with their parent, whichever way it ends

Cause: support/demo ended by a signal left its eight children running, since their destructors did not run. The kernel now kills a child whose parent has ended. ChildProcess.EndsWithAKilledParent failed without the call.

--- a/test/child-process.cc
+++ b/test/child-process.cc
@@ -7,8 +7,8 @@
 #include <cstdint>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <spawn.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -16,6 +16,23 @@
 
 namespace kumquatpitch::test {
 
+namespace {
+
+/// Runs in the child: only calls that are safe after fork() of a process with
+/// threads. Returns only when the program cannot be started.
+void startProgram(char *const *Argv, const char *LogFile, pid_t Parent) {
+  // The child ends with its parent, also when that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int Log = open(LogFile, O_WRONLY | O_CREAT | O_APPEND, 0644);
+  if (getppid() != Parent || Log < 0)
+    return;
+  dup2(Log, STDOUT_FILENO);
+  dup2(Log, STDERR_FILENO);
+  execv(Argv[0], Argv);
+}
+
+} // namespace
+
 ChildProcess::ChildProcess(const std::vector<std::string> &Arguments,
                            const std::string &LogFile) {
   std::vector<char *> Argv;
@@ -23,16 +40,28 @@
   for (const std::string &Argument : Arguments)
     Argv.push_back(const_cast<char *>(Argument.c_str()));
   Argv.push_back(nullptr);
-  posix_spawn_file_actions_t Actions;
-  posix_spawn_file_actions_init(&Actions);
-  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, LogFile.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
-  const int Error =
-      posix_spawn(&Pid_, Argv[0], &Actions, nullptr, Argv.data(), environ);
-  posix_spawn_file_actions_destroy(&Actions);
-  if (Error != 0)
-    throw std::runtime_error("cannot start " + Arguments[0]);
+  // Closed by a successful exec; a byte says that the program did not start.
+  int StartFailed[2];
+  if (pipe2(StartFailed, O_CLOEXEC) != 0)
+    throw std::runtime_error("cannot open a pipe");
+  const pid_t Parent = getpid();
+  Pid_ = fork();
+  if (Pid_ == 0) {
+    startProgram(Argv.data(), LogFile.c_str(), Parent);
+    const char Failed = 1;
+    const ssize_t Written = write(StartFailed[1], &Failed, 1);
+    _exit(Written == 1 ? 126 : 127);
+  }
+  close(StartFailed[1]);
+  char Failed = 0;
+  const bool HasFailed = Pid_ < 0 || read(StartFailed[0], &Failed, 1) == 1;
+  close(StartFailed[0]);
+  if (!HasFailed)
+    return;
+  if (Pid_ > 0)
+    wait();
+  Pid_ = 0;
+  throw std::runtime_error("cannot start " + Arguments[0]);
 }
 
 ChildProcess::ChildProcess(ChildProcess &&Other) noexcept
