--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -365,9 +365,6 @@
     eject(Target, Now);
     break;
   case AttemptEvidence::Unreachable:
-    Target.IsUnresponsive_ = true;
-    eject(Target, Now);
-    break;
   case AttemptEvidence::Silent:
     Target.IsUnresponsive_ = true;
     eject(Target, Now);
--- a/test/gateway-load-test.cc
+++ b/test/gateway-load-test.cc
@@ -437,10 +437,12 @@
 TEST(GatewayLoad, RefusesAtOnceWhatTheTargetsCannotServe) {
   constexpr int Targets = 12;
   constexpr std::int64_t LengthMs = 20'000;
-  constexpr int CapacityPerSecond = Targets * Slots * 1'000 / MeanServiceTimeMs;
+  constexpr std::int64_t CapacityPerSecond =
+      std::int64_t{Targets} * Slots * 1'000 / MeanServiceTimeMs;
   for (const int LoadPercent : {120, 200, 400}) {
     LoadModel Model(Targets, 4, 11);
-    Model.run(LengthMs, CapacityPerSecond * LoadPercent / 100, 60);
+    Model.run(LengthMs, static_cast<int>(CapacityPerSecond * LoadPercent / 100),
+              60);
     const int Refused = Model.Bookings_.Refused_ + Model.Lookups_.Refused_;
     const std::int64_t RefusalMs =
         Model.Bookings_.RefusalMs_ + Model.Lookups_.RefusalMs_;
