Prefer idle targets only while requests fail

Each further target in use is found to be gray by a request that is lost. Idle targets are preferred only from 5% of requests not served, below the tenth from which the floor is judged.

--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -230,6 +230,7 @@
                       TimePoint Now) const;
   Duration turnDelay(const State &Target) const;
   std::size_t rankOf(const TargetEntry &Entry) const;
+  double unservedShare(TimePoint Now) const;
   bool isFloorAtRisk(TimePoint Now) const;
   bool mayBeTrial(const PickConstraints &Constraints, TimePoint Now) const;
   bool isCapacityShort() const;
--- a/src/target-balancer-trials.cc
+++ b/src/target-balancer-trials.cc
@@ -151,10 +151,10 @@
   PeerOutcomes_[From] = PeerOutcomes{Counts, Now};
 }
 
-/// True when too many of the service's requests fail. The requests of all hosts
-/// count: those of a single host are too few to tell, and a failed trial of its
-/// own would call for the next one.
-bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
+/// Share of the service's recent requests that were not served. The requests of
+/// all hosts count: those of a single host are too few to tell, and a failed
+/// trial of its own would call for the next one.
+double TargetBalancer::unservedShare(TimePoint Now) const {
   RequestOutcomeCounts Sum = outcomeCounts(Now);
   for (const std::pair<const HostId, PeerOutcomes> &Entry : PeerOutcomes_) {
     if (Now - Entry.second.ReportedAt_ > PeerOutcomesMaxAge)
@@ -164,7 +164,13 @@
     Sum.Ended_ += Counts.Ended_;
     Sum.Unserved_ += Counts.Unserved_;
   }
-  return Sum.Ended_ > 0 && Sum.Unserved_ / Sum.Ended_ >= AtRiskUnservedShare;
+  return Sum.Ended_ > 0 ? Sum.Unserved_ / Sum.Ended_ : 0;
+}
+
+/// True when so many of the service's requests fail that the floor may be
+/// judged.
+bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
+  return unservedShare(Now) >= AtRiskUnservedShare;
 }
 
 /// True when a request may serve as a trial: it can be resent if it fails, or
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -66,9 +66,12 @@
 /// that shares the service, is cheaper by the bonus in request times. Without
 /// it, a large service with little load uses its fastest targets only: a third
 /// of the others got no request for the two seconds over which the floor is
-/// judged. The hosts together send each target about one request a second.
+/// judged. The hosts together send each target about one request a second. This
+/// is done only while requests fail: the more targets are used, the more gray
+/// ones are found by a request that is lost.
 constexpr Duration IdleTimePerHost = std::chrono::seconds(1);
 constexpr double IdleBonus = 0.5;
+constexpr double IdleUnservedShare = 0.05;
 /// A target that has requests in progress is avoided as silent when it has
 /// given no answer for this many times the mean latency, and at least for
 /// MinSilence.
@@ -130,6 +133,8 @@
 }
 
 double TargetBalancer::shedShare(const State &Target, TimePoint Now) {
+  if (Target.ShedShare_ == 0)
+    return 0;
   return Target.ShedShare_ *
          std::exp(-toSeconds(Now - Target.ShedAt_) / ShedDecaySeconds);
 }
@@ -216,6 +221,7 @@
   double BestCost = 0;
   constexpr double JitterShare = 0.02;
   const State *FloorTrial = floorTrialTarget(Constraints, Now);
+  const bool UsesIdleTargets = unservedShare(Now) >= IdleUnservedShare;
   const Duration IdleTime =
       IdleTimePerHost * std::max<std::size_t>(1, AssignedHosts_.size());
   for (std::pair<const TargetId, State> &Entry : States_) {
@@ -244,7 +250,7 @@
       Cost += SilentPenalty;
     if (Target.Ejected_)
       Cost += SilentPenalty * (2 - servedShare(Target));
-    if (Now - Target.SentAt_ > IdleTime)
+    if (UsesIdleTargets && Now - Target.SentAt_ > IdleTime)
       Cost -= IdleBonus;
     Cost *= 1 + JitterShare * static_cast<double>(Random.below(1'000)) / 1'000;
     if (!Best || Cost < BestCost) {
