Let requests of a route without an objective wait until their deadline

Cause, from reading: without an objective the limit was the arrival itself, so that such a request counted as late and was refused as soon as others arrived as fast as the targets took them. RequestWithoutObjectiveWaitsUntilItsDeadline failed first.

--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -57,6 +57,15 @@
 /// hosts: the counts are too small to show whether the floor is at risk.
 constexpr double MinReportedRequests = 0.5;
 
+/// Until when the request's response meets the route's latency objective; its
+/// deadline when the route has none or the deadline comes first.
+TimePoint objectiveAt(const GatewayRequest &Request) {
+  const Duration Objective = Request.Route_->Objective_;
+  if (Objective == Duration::zero())
+    return Request.DeadlineAt_;
+  return std::min(Request.ArrivedAt_ + Objective, Request.DeadlineAt_);
+}
+
 std::string routeKey(const VirtualRoute &Route) {
   return Route.Host_ + " " + Route.Prefix_;
 }
@@ -367,10 +376,8 @@
   const Duration Latency = expectedLatency(Route);
   const double Rate = expectedDepartureRate(State, Now);
   const QueuePosition Position{Ahead, Route.Priority_, false};
-  const TimePoint ObjectiveAt =
-      std::min(Request.ArrivedAt_ + Route.Objective_, Request.DeadlineAt_);
   if (State.Wait_.expectedWait(Position, Rate, Now) <=
-      ObjectiveAt - Latency - Now)
+      objectiveAt(Request) - Latency - Now)
     return true;
   const QueuePosition LatePosition{Ahead, Route.Priority_, true};
   const Duration ShortLatency(static_cast<Duration::rep>(
@@ -385,7 +392,7 @@
 void GatewayCore::sortQueue(ServiceState &State, TimePoint Now) const {
   const auto Key = [&](const std::shared_ptr<GatewayRequest> &Request) {
     const VirtualRoute &Route = *Request->Route_;
-    const TimePoint ObjectiveAt = Request->ArrivedAt_ + Route.Objective_;
+    const TimePoint ObjectiveAt = objectiveAt(*Request);
     const bool IsLate = Now + meanLatency(Route) > ObjectiveAt;
     return std::make_tuple(IsLate, Route.Priority_,
                            IsLate ? Request->DeadlineAt_ : ObjectiveAt);
--- a/test/gateway-core-test.cc
+++ b/test/gateway-core-test.cc
@@ -256,6 +256,20 @@
   CHECK(Refused < 300);
 }
 
+// Guards against refusing requests of a route without a latency objective while
+// as many arrive as the targets take: they may wait until their deadline.
+TEST(GatewayCore, RequestWithoutObjectiveWaitsUntilItsDeadline) {
+  RoutingConfig Config;
+  Config.Routes_ = {route("/look/", true), route("/plain/", false)};
+  Config.Routes_[1].Objective_ = Duration::zero();
+  Core_.setTable(std::make_shared<const RouteTable>(Config));
+  fillSlots();
+  for (int Count = 0; Count < 100; ++Count)
+    admit("/look/x");
+  const Placement Placed = Core_.place(admit("/plain/x"), atMs(Now_));
+  CHECK(std::holds_alternative<QueuedForTarget>(Placed));
+}
+
 // With all targets ejected, a booking that cannot wait for a trial is refused
 // at once as not run. An idempotent request is sent to an ejected target
 // instead, and again to another one while the resend budget allows it.
