--- a/test/target-balancer-test.cc
+++ b/test/target-balancer-test.cc
@@ -4,6 +4,9 @@
 
 #include "manual-time.h"
 
+#include <map>
+#include <string>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpitch;
@@ -144,6 +147,69 @@
   CHECK_EQUAL(3, TrialsAtRisk);
 }
 
+// Guards against a sound target without a request for the two seconds over
+// which the floor is judged: all combinations of five targets that are in use,
+// fail with an answer, or answer nothing, while requests of the service fail.
+// One that fails by itself is sound again two seconds later; one that answers
+// nothing is not.
+TEST(TargetBalancer, NoFailingTargetIsLeftOutWhileRequestsFail) {
+  constexpr int Targets = 5;
+  constexpr std::int64_t StepMs = 50;
+  enum class Health : std::uint8_t { Good, Failing, Silent };
+  for (int Case = 0; Case < 3 * 3 * 3 * 3 * 3; ++Case) {
+    Health Healths[Targets];
+    for (int Index = 0, Rest = Case; Index < Targets; ++Index, Rest /= 3)
+      Healths[Index] = static_cast<Health>(Rest % 3);
+    Balancer_ = TargetBalancer(HostId("h1"), FailureDomain("ikeja"), 0.7);
+    useTargets(Targets);
+    Now_ += 6'000;
+    std::map<TargetId, std::int64_t> LastUse;
+    std::map<TargetId, std::int64_t> SilentSince;
+    for (int Index = 0; Index < Targets; ++Index) {
+      const TargetId Id("t" + std::to_string(Index));
+      if (Healths[Index] != Health::Good)
+        runAttempt(Id,
+                   Healths[Index] == Health::Failing
+                       ? AttemptEvidence::Failed
+                       : AttemptEvidence::Unreachable,
+                   3);
+      LastUse[Id] = Now_;
+    }
+    for (const std::int64_t End = Now_ + 8'000; Now_ < End; Now_ += StepMs) {
+      for (int Count = 0; Count < 10; ++Count)
+        Balancer_.requestEnded(Count > 2, atMs(Now_));
+      for (std::map<TargetId, std::int64_t>::iterator It = SilentSince.begin();
+           It != SilentSince.end();) {
+        const bool IsOver = Now_ - It->second >= 2'000;
+        if (IsOver)
+          Balancer_.attemptEnded(It->first, atMs(It->second),
+                                 AttemptEvidence::Silent, ms(200), std::nullopt,
+                                 atMs(Now_));
+        It = IsOver ? SilentSince.erase(It) : std::next(It);
+      }
+      const std::optional<TargetPick> Pick = pick(false);
+      if (!Pick)
+        continue;
+      const TargetId &Id = Pick->Target_.Id_;
+      const int Index = std::stoi(Id.str().substr(1));
+      CHECK(Healths[Index] != Health::Failing || Now_ - LastUse[Id] <= 2'000);
+      LastUse[Id] = Now_;
+      Balancer_.attemptStarted(Id, atMs(Now_));
+      if (Healths[Index] == Health::Silent)
+        SilentSince[Id] = Now_;
+      else
+        Balancer_.attemptEnded(Id, atMs(Now_),
+                               Healths[Index] == Health::Good
+                                   ? AttemptEvidence::Answered
+                                   : AttemptEvidence::Failed,
+                               ms(200), std::nullopt, atMs(Now_));
+    }
+    for (int Index = 0; Index < Targets; ++Index)
+      CHECK(Healths[Index] != Health::Failing ||
+            Now_ - LastUse[TargetId("t" + std::to_string(Index))] <= 2'000);
+  }
+}
+
 // Guards against sending the floor's trials to targets whose gray failure has
 // just begun.
 TEST(TargetBalancer, FloorTriesLongestEjectedTargetFirst) {
