Give callers as many small hosts as replace the large ones that are lost

The host that held them is one of the small ones of its domain, 10 Mbit/s instead of 200; two of 33 were given to all callers of the domain, whose answers do not fit their links. The number of hosts followed the number of hosts, not their size. It now follows the processor time of the large ones. SmallHostsReplaceLargeOnesByTheirProcessorTime failed first.

--- a/include/kumquatpitch/caller-hosts.h
+++ b/include/kumquatpitch/caller-hosts.h
@@ -25,7 +25,9 @@
 
 /// Returns the hosts for the callers of `VirtualHost` in `Domain`, in order of
 /// preference. Hosts of other failure domains, those of the same region first,
-/// fill the selection when the domain has too few.
+/// fill the selection when the domain has too few. When large hosts do not
+/// serve, more small ones are selected: as many as have the same processor
+/// time, and with it the same network links.
 std::vector<Member> callerHosts(const std::vector<Member> &Members,
                                 std::string_view VirtualHost,
                                 const FailureDomain &Domain,
--- a/src/caller-hosts.cc
+++ b/src/caller-hosts.cc
@@ -40,6 +40,17 @@
   return Ranking;
 }
 
+/// Processor time of the largest known host of the region, also when it does
+/// not serve now.
+std::uint32_t largestProcessor(const std::vector<Member> &Members,
+                               const Region &CallerRegion) {
+  std::uint32_t Largest = 0;
+  for (const Member &Host : Members)
+    if (Host.Region_ == CallerRegion)
+      Largest = std::max(Largest, Host.Processor_);
+  return Largest;
+}
+
 /// Moves the large hosts of the caller's failure domain to the front. A host is
 /// large when it has at least the processor time of the smallest among the
 /// largest hosts that together have `LargeHostsShare` of the domain's total.
@@ -82,10 +93,17 @@
   const std::size_t Wanted =
       std::clamp((DomainHosts + HostsPerCallerHost / 2) / HostsPerCallerHost,
                  MinCallerHosts, MaxCallerHosts);
+  const std::size_t WantedProcessor =
+      Wanted * largestProcessor(Members, CallerRegion);
   std::vector<Member> Selected;
-  for (const RankedHost &Host : Ranking)
-    if (Selected.size() < Wanted)
-      Selected.push_back(*Host.Member_);
+  std::size_t Processor = 0;
+  for (const RankedHost &Host : Ranking) {
+    if (Selected.size() >= MaxCallerHosts ||
+        (Selected.size() >= Wanted && Processor >= WantedProcessor))
+      break;
+    Selected.push_back(*Host.Member_);
+    Processor += Host.Member_->Processor_;
+  }
   return Selected;
 }
 
--- a/test/caller-hosts-test.cc
+++ b/test/caller-hosts-test.cc
@@ -88,3 +88,21 @@
     Used.insert(Host.Id_);
   CHECK(Used == (std::set<HostId>{HostId("h10"), HostId("h12")}));
 }
+
+// Guards against a few small hosts that get the callers of the large ones when
+// these are lost: their links do not carry as much. Each is a fifth of the two
+// large hosts that the other domain still has, so ten are needed.
+TEST(CallerHosts, SmallHostsReplaceLargeOnesByTheirProcessorTime) {
+  std::vector<Member> Hosts = makeFleet(80);
+  for (Member &Host : Hosts)
+    Host.Processor_ = 100;
+  for (const int Index : {10, 12, 11, 13})
+    Hosts[Index].Processor_ = 500;
+  CHECK_EQUAL(2, selectHosts(Hosts).size());
+  Hosts[10].State_ = MemberState::Lost;
+  CHECK_EQUAL(6, selectHosts(Hosts).size());
+  Hosts[12].State_ = MemberState::Lost;
+  CHECK_EQUAL(10, selectHosts(Hosts).size());
+  for (const Member &Host : selectHosts(Hosts))
+    CHECK(Host.Domain_ == FailureDomain("ikeja"));
+}
