Derive once for a pick or a drain what all targets share

Cause: while many targets answer nothing, each of them counted the trials in progress over all targets, once for the floor and once for its own trial, and each pick summed the outcomes of all hosts twice. Draining a queue summed the slots of all targets for each request in it. None of this changes within one pick or drain, so pick() and drainQueue() now derive it once. isFloorAtRisk() and hasTrialLeft() are gone.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -243,9 +243,9 @@
   static double expectedDepartureRate(const ServiceState &State, TimePoint Now);
   bool canBeServedInTime(const GatewayRequest &Request,
                          const ServiceState &State, std::size_t Ahead,
-                         TimePoint Now) const;
+                         double Rate, TimePoint Now) const;
   Placement placeQueued(GatewayRequest &Request, ServiceState &State,
-                        std::size_t Ahead, TimePoint Now);
+                        std::size_t Ahead, double Rate, TimePoint Now);
   GatewayDecision decideAfterFailure(GatewayRequest &Request,
                                      AttemptOutcome Outcome, TimePoint Now);
   ServiceState &findOrCreateService(const ServiceName &Name);
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -218,6 +218,17 @@
     }
   };
 
+  /// What a pick derives once from all targets and hosts.
+  struct PickBasis {
+    double UnservedShare_ = 0; ///< Of the service's recent requests.
+    /// Fewer trials of unresponsive targets are in progress than may be.
+    bool MayTryUnresponsive_ = true;
+
+    bool mayTry(const State &Target) const {
+      return MayTryUnresponsive_ || !Target.IsUnresponsive_;
+    }
+  };
+
   double load(const State &Target, TimePoint Now) const;
   static double shedShare(const State &Target, TimePoint Now);
   static void recordShedding(State &Target, bool Refused, TimePoint Now);
@@ -231,15 +242,15 @@
   Duration turnDelay(const State &Target) const;
   std::size_t rankOf(const TargetEntry &Entry) const;
   double unservedShare(TimePoint Now) const;
-  bool isFloorAtRisk(TimePoint Now) const;
   bool mayBeTrial(const PickConstraints &Constraints, TimePoint Now) const;
   bool isCapacityShort() const;
   static void countOutcome(State &Target, bool Served, TimePoint Now);
   static double servedShare(const State &Target);
 
   static Duration floorPause(const State &Target, bool IsAtRisk);
+  PickBasis pickBasis(TimePoint Now) const;
   const State *floorTrialTarget(const PickConstraints &Constraints,
-                                TimePoint Now) const;
+                                const PickBasis &Basis, TimePoint Now) const;
   bool showsSilence(const State &Target, TimePoint StartedAt,
                     TimePoint Now) const;
   void applyEvidence(State &Target, AttemptEvidence Evidence,
@@ -249,8 +260,7 @@
   std::optional<TargetPick> pickLastResort(const PickConstraints &Constraints,
                                            TimePoint Now);
   bool isTrialDue(const State &Target, const PickConstraints &Constraints,
-                  TimePoint Now) const;
-  bool hasTrialLeft(const State &Target) const;
+                  const PickBasis &Basis, TimePoint Now) const;
   void recordTrialOfUnresponsive(bool Succeeded);
   void adjustGrayFailureLength(State &Target, bool Succeeded, TimePoint Now);
   void raiseSuspicion(State &Target, std::uint32_t Weight, TimePoint Now);
@@ -267,7 +277,7 @@
   double FloorShare_;
   std::vector<AssignedHost> AssignedHosts_;
   /// Most trials of unresponsive targets that this host makes at once; see
-  /// hasTrialLeft().
+  /// pickBasis().
   std::size_t MaxUnresponsiveTrials_ = 1;
   bool HasWaitingRequests_ = false;
   std::map<TargetId, State> States_;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -326,8 +326,9 @@
 /// Decides about a request for which no target has room: it stays queued, or is
 /// refused at once when it has no chance.
 Placement GatewayCore::placeQueued(GatewayRequest &Request, ServiceState &State,
-                                   std::size_t Ahead, TimePoint Now) {
-  if (canBeServedInTime(Request, State, Ahead, Now))
+                                   std::size_t Ahead, double Rate,
+                                   TimePoint Now) {
+  if (canBeServedInTime(Request, State, Ahead, Rate, Now))
     return QueuedForTarget{};
   return placeAsLastResort(Request, State, Now);
 }
@@ -346,7 +347,8 @@
       std::find(State.Queue_.begin(), State.Queue_.end(), Request);
   Result = placeQueued(
       *Request, State,
-      static_cast<std::size_t>(std::distance(State.Queue_.begin(), It)), Now);
+      static_cast<std::size_t>(std::distance(State.Queue_.begin(), It)),
+      expectedDepartureRate(State, Now), Now);
   Request->IsQueued_ = std::holds_alternative<QueuedForTarget>(Result);
   if (!Request->IsQueued_)
     State.Queue_.erase(It);
@@ -368,13 +370,14 @@
 }
 
 /// True when a request with `Ahead` others before it in the queue can meet its
-/// latency objective or, if no longer that, still its deadline.
+/// latency objective or, if no longer that, still its deadline. `Rate` is the
+/// expected departure rate.
 bool GatewayCore::canBeServedInTime(const GatewayRequest &Request,
                                     const ServiceState &State,
-                                    std::size_t Ahead, TimePoint Now) const {
+                                    std::size_t Ahead, double Rate,
+                                    TimePoint Now) const {
   const VirtualRoute &Route = *Request.Route_;
   const Duration Latency = expectedLatency(Route);
-  const double Rate = expectedDepartureRate(State, Now);
   const QueuePosition Position{Ahead, Route.Priority_, false};
   if (State.Wait_.expectedWait(Position, Rate, Now) <=
       objectiveAt(Request) - Latency - Now)
@@ -427,6 +430,7 @@
   if (State.Queue_.empty())
     return;
   sortQueue(State, Now);
+  const double Rate = expectedDepartureRate(State, Now);
   std::vector<std::shared_ptr<GatewayRequest>> StillQueued;
   bool IsFull = false;
   for (const std::shared_ptr<GatewayRequest> &Request : State.Queue_) {
@@ -436,7 +440,7 @@
                               : tryToPlace(*Request, State, Now);
     if (std::holds_alternative<QueuedForTarget>(Result)) {
       IsFull = true;
-      Result = placeQueued(*Request, State, StillQueued.size(), Now);
+      Result = placeQueued(*Request, State, StillQueued.size(), Rate, Now);
     }
     if (std::holds_alternative<QueuedForTarget>(Result)) {
       StillQueued.push_back(Request);
--- a/src/target-balancer-trials.cc
+++ b/src/target-balancer-trials.cc
@@ -52,7 +52,7 @@
 /// are replaced or cut off. So no ejected target may be without a request for
 /// the two seconds over which the floor is judged. One that answered with an
 /// error is sound two seconds later. One that did not answer at all is sound
-/// only some seconds after its disturbance has ended, and each trial of it
+/// only some seconds after its fault has ended, and each trial of it
 /// occupies a request until its deadline.
 constexpr Duration AtRiskTrialPause = std::chrono::milliseconds(1'200);
 constexpr Duration AtRiskUnresponsivePause = std::chrono::seconds(4);
@@ -167,12 +167,6 @@
   return Sum.Ended_ > 0 ? Sum.Unserved_ / Sum.Ended_ : 0;
 }
 
-/// True when so many of the service's requests fail that the floor may be
-/// judged.
-bool TargetBalancer::isFloorAtRisk(TimePoint Now) const {
-  return unservedShare(Now) >= AtRiskUnservedShare;
-}
-
 /// True when a request may serve as a trial: it can be resent if it fails, or
 /// no such request has been seen for a while.
 bool TargetBalancer::mayBeTrial(const PickConstraints &Constraints,
@@ -210,10 +204,10 @@
 /// failure began first, as it has most likely recovered; otherwise null.
 const TargetBalancer::State *
 TargetBalancer::floorTrialTarget(const PickConstraints &Constraints,
-                                 TimePoint Now) const {
+                                 const PickBasis &Basis, TimePoint Now) const {
   const Duration Delay =
       mayBeTrial(Constraints, Now) ? Duration::zero() : NonRetryableFloorDelay;
-  const bool IsAtRisk = isFloorAtRisk(Now);
+  const bool IsAtRisk = Basis.UnservedShare_ >= AtRiskUnservedShare;
   std::size_t Counted = 0;
   std::size_t Unused = 0;
   const State *Oldest = nullptr;
@@ -222,7 +216,7 @@
     if (Target.isUnavailable(Now) || Now - Target.KnownSince_ < FloorWarmUp)
       continue;
     ++Counted;
-    if (!Target.Ejected_ || Target.OnTrial_ || !hasTrialLeft(Target) ||
+    if (!Target.Ejected_ || Target.OnTrial_ || !Basis.mayTry(Target) ||
         Now - Target.LastResultAt_ <
             floorPause(Target, IsAtRisk) + Delay +
                 FloorTurn * std::min(Target.Rank_, MaxFloorTurns))
@@ -263,12 +257,12 @@
 
 bool TargetBalancer::isTrialDue(const State &Target,
                                 const PickConstraints &Constraints,
-                                TimePoint Now) const {
+                                const PickBasis &Basis, TimePoint Now) const {
   const double Pause =
       toSeconds(trialPause(Target, Constraints.IsRetryable_, Now) +
                 turnDelay(Target)) *
       (HasWaitingRequests_ ? WaitingRequestsPauseFactor : 1);
-  if (!Target.Ejected_ || Target.OnTrial_ || !hasTrialLeft(Target) ||
+  if (!Target.Ejected_ || Target.OnTrial_ || !Basis.mayTry(Target) ||
       toSeconds(Now - Target.LastResultAt_) < Pause)
     return false;
   return areAllEjected(Now) || mayBeTrial(Constraints, Now);
@@ -279,16 +273,15 @@
 /// all were tried as they become due, most requests of a service would be lost.
 /// A trial that succeeds doubles the number that may be in progress at once, so
 /// that all are in use again soon after the cause has ended.
-bool TargetBalancer::hasTrialLeft(const State &Target) const {
-  if (!Target.IsUnresponsive_)
-    return true;
+TargetBalancer::PickBasis TargetBalancer::pickBasis(TimePoint Now) const {
   const std::ptrdiff_t InProgress =
       std::count_if(States_.begin(), States_.end(),
                     [](const std::pair<const TargetId, State> &Entry) {
                       return Entry.second.Ejected_ && Entry.second.OnTrial_ &&
                              Entry.second.IsUnresponsive_;
                     });
-  return static_cast<std::size_t>(InProgress) < MaxUnresponsiveTrials_;
+  return PickBasis{unservedShare(Now), static_cast<std::size_t>(InProgress) <
+                                           MaxUnresponsiveTrials_};
 }
 
 void TargetBalancer::recordTrialOfUnresponsive(bool Succeeded) {
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -220,15 +220,17 @@
   State *Trial = nullptr;
   double BestCost = 0;
   constexpr double JitterShare = 0.02;
-  const State *FloorTrial = floorTrialTarget(Constraints, Now);
-  const bool UsesIdleTargets = unservedShare(Now) >= IdleUnservedShare;
+  const PickBasis Basis = pickBasis(Now);
+  const State *FloorTrial = floorTrialTarget(Constraints, Basis, Now);
+  const bool UsesIdleTargets = Basis.UnservedShare_ >= IdleUnservedShare;
   const Duration IdleTime =
       IdleTimePerHost * std::max<std::size_t>(1, AssignedHosts_.size());
   for (std::pair<const TargetId, State> &Entry : States_) {
     State &Target = Entry.second;
     if (Target.isUnavailable(Now) || Constraints.Tried_.count(Entry.first))
       continue;
-    if ((isTrialDue(Target, Constraints, Now) || &Target == FloorTrial) &&
+    if ((isTrialDue(Target, Constraints, Basis, Now) ||
+         &Target == FloorTrial) &&
         (!Trial || Target.LastResultAt_ < Trial->LastResultAt_))
       Trial = &Target;
     const bool IsUseful =
