--- a/test/child-process.cc
+++ b/test/child-process.cc
@@ -60,7 +60,6 @@
     return;
   if (Pid_ > 0)
     wait();
-  Pid_ = 0;
   throw std::runtime_error("cannot start " + Arguments[0]);
 }
 
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -214,6 +214,24 @@
            "\r\n\r\n" + Body;
   }
 
+  /// Sends two bookings, one after the other. The target answers the first and
+  /// sends `SecondAnswer` for the second, on the same connection.
+  void bookTwice(const std::string &SecondAnswer) {
+    startTarget(
+        [SecondAnswer, IsFirst = true](ScriptedTarget::Socket &Socket,
+                                       const std::string &Request) mutable {
+          if (!hasCompleteHead(Request))
+            return false;
+          sendText(Socket, IsFirst ? answer(requestIdOf(Request), "first")
+                                   : SecondAnswer);
+          IsFirst = false;
+          return true;
+        });
+    call(request("/book/1", "id1", "POST"));
+    CHECK(runUntilReceived("first"));
+    sendText(Caller_, request("/book/2", "id2", "POST"));
+  }
+
   /// Runs until the caller has received `Text`, for at most 1 s.
   bool runUntilReceived(const std::string &Text) {
     return runUntil([&] { return Received_.find(Text) != std::string::npos; });
@@ -301,22 +319,8 @@
 // Guards against giving a caller the second copy of an earlier answer that
 // comes without a request id on a connection in use again.
 TEST(GatewayFront, AnswersWithoutRequestIdAreFailures) {
-  int Requests = 0;
-  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
-    if (!hasCompleteHead(Request))
-      return false;
-    ++Requests;
-    sendText(
-        Socket,
-        Requests == 1
-            ? answer(requestIdOf(Request), "first")
-            : std::string("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
-                          "Kumquatpitch-Answer-Signature: s\r\n\r\ncopied"));
-    return true;
-  });
-  call(request("/book/1", "id1", "POST"));
-  CHECK(runUntilReceived("first"));
-  sendText(Caller_, request("/book/2", "id2", "POST"));
+  bookTwice("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
+            "Kumquatpitch-Answer-Signature: s\r\n\r\ncopied");
   CHECK(runUntilReceived("HTTP/1.1 502"));
   CHECK(Received_.find("copied") == std::string::npos);
 }
@@ -324,21 +328,8 @@
 // Guards against taking a late refusal of an earlier request for one of the
 // current request, which may run.
 TEST(GatewayFront, RefusalWithoutRequestIdDoesNotClaimNotRun) {
-  int Requests = 0;
-  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
-    if (!hasCompleteHead(Request))
-      return false;
-    ++Requests;
-    sendText(Socket, Requests == 1
-                         ? answer(requestIdOf(Request), "first")
-                         : std::string("HTTP/1.1 503 Service Unavailable\r\n"
-                                       "Kumquatpitch-Not-Run: 1\r\n"
-                                       "Content-Length: 0\r\n\r\n"));
-    return true;
-  });
-  call(request("/book/1", "id1", "POST"));
-  CHECK(runUntilReceived("first"));
-  sendText(Caller_, request("/book/2", "id2", "POST"));
+  bookTwice("HTTP/1.1 503 Service Unavailable\r\nKumquatpitch-Not-Run: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
   CHECK(runUntilReceived("HTTP/1.1 502"));
 }
 
