Keep one conversion between seconds and durations

toSeconds() stood in queue-wait, target-balancer and gateway-settings, fromSeconds() in two of them and written out in two more places. Both now stand beside toMilliseconds() in time-point.h. All versions rounded towards zero, and this one does too.

--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -94,14 +94,6 @@
   bool operator==(const TargetPick &) const = default;
 };
 
-namespace detail {
-
-inline double toSeconds(Duration Span) {
-  return std::chrono::duration<double>(Span).count();
-}
-
-} // namespace detail
-
 class TargetBalancer {
 public:
   TargetBalancer(HostId OwnId, FailureDomain OwnDomain, double FloorShare)
--- a/include/kumquatpitch/time-point.h
+++ b/include/kumquatpitch/time-point.h
@@ -30,6 +30,16 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
 
+inline double toSeconds(Duration Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+/// `Seconds` as whole microseconds, rounded towards zero.
+inline Duration fromSeconds(double Seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
 } // namespace kumquatpitch
 
 #endif
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -574,13 +574,9 @@
       State.Wait_.departureRate(expectedDepartureRate(State, Now), Now);
   const double Seconds =
       static_cast<double>(State.Queue_.size()) / std::max(Rate, 1e-3);
-  const double MaxSeconds =
-      std::chrono::duration<double>(MaxRetryAfter).count();
-  constexpr double MicrosecondsPerSecond = 1e6;
-  return refuse(ResultCode::BackendRefused,
-                std::max(MinRetryAfter, Duration(static_cast<Duration::rep>(
-                                            std::min(Seconds, MaxSeconds) *
-                                            MicrosecondsPerSecond))));
+  const Duration Wait =
+      fromSeconds(std::min(Seconds, toSeconds(MaxRetryAfter)));
+  return refuse(ResultCode::BackendRefused, std::max(MinRetryAfter, Wait));
 }
 
 void GatewayCore::requestEnded(const GatewayRequest &Request, bool Served,
--- a/src/gateway-settings.cc
+++ b/src/gateway-settings.cc
@@ -14,16 +14,8 @@
 constexpr double MaxSlack = 1e6;
 constexpr double MaxCores = 1'024;
 
-Duration fromSeconds(double Seconds) {
-  return Duration(static_cast<Duration::rep>(Seconds * 1e6));
-}
-
 constexpr std::int64_t MaxMemoryMb = 1 << 20;
 
-double toSeconds(Duration Span) {
-  return std::chrono::duration<double>(Span).count();
-}
-
 GatewaySettings readSettings(SettingsReader &Reader) {
   GatewaySettings Settings;
   Settings.Id_ = Reader.name<HostTag>("host", "id");
--- a/src/queue-wait.cc
+++ b/src/queue-wait.cc
@@ -15,10 +15,6 @@
 /// Weight of the expected departure rate, as seconds with a queue.
 constexpr double PriorSeconds = 0.3;
 
-double toSeconds(Duration Span) {
-  return std::chrono::duration<double>(Span).count();
-}
-
 } // namespace
 
 double DecayingSum::at(TimePoint Now) const {
@@ -84,9 +80,7 @@
   const double Departures = static_cast<double>(Position.Ahead_) + 1;
   if (Rate * MaxWaitSeconds <= Departures)
     return Duration::max();
-  constexpr double MicrosecondsPerSecond = 1e6;
-  return Duration(
-      static_cast<Duration::rep>(Departures / Rate * MicrosecondsPerSecond));
+  return fromSeconds(Departures / Rate);
 }
 
 } // namespace kumquatpitch
--- a/src/target-balancer-trials.cc
+++ b/src/target-balancer-trials.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-using detail::toSeconds;
-
 /// A host waits this long for the result of an earlier host's trial of a target
 /// that does not answer: the trial ends with the deadline of its request.
 constexpr Duration UnresponsiveTurn = std::chrono::milliseconds(2'500);
@@ -97,11 +95,6 @@
 /// they fail serve as trials too.
 constexpr Duration RetryableMaxAge = std::chrono::seconds(6);
 
-Duration fromSeconds(double Seconds) {
-  constexpr double MicrosecondsPerSecond = 1e6;
-  return Duration(static_cast<Duration::rep>(Seconds * MicrosecondsPerSecond));
-}
-
 RequestOutcomeCounts decayed(const RequestOutcomeCounts &Counts, Duration Age) {
   const double DecayFactor = std::exp(-toSeconds(Age) / UnservedDecaySeconds);
   return RequestOutcomeCounts{Counts.Ended_ * DecayFactor,
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-using detail::toSeconds;
-
 /// Weight of a new sample in the decayed mean latency, and in the slowness of a
 /// target.
 constexpr double MeanLatencyWeight = 0.03;
