Log the rate limit that a target names in its answers

Each change is logged now, and each attempt at a limited target. Where requests go does not change.

ReportedLoad becomes part of TargetReport, all that a target reports about itself with an answer. A malformed limit leaves the known one as it is and is logged. An answer that is broken or comes from another instance reports nothing.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -168,11 +168,12 @@
   std::optional<GatewayAttempt> placeHedge(GatewayRequest &Request,
                                            TimePoint Now);
 
-  /// Records how an attempt ended and decides the next step.
+  /// Records how an attempt ended and decides the next step. `Report` is empty
+  /// when the target did not answer.
   GatewayDecision attemptEnded(GatewayRequest &Request,
                                const GatewayAttempt &Attempt,
                                AttemptOutcome Outcome,
-                               std::optional<ReportedLoad> Load, TimePoint Now);
+                               const TargetReport &Report, TimePoint Now);
 
   /// Records that a request ended; `Served` is true on success.
   void requestEnded(const GatewayRequest &Request, bool Served, TimePoint Now);
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -27,6 +27,7 @@
   std::string AnswerSignature_ = "Kumquatpitch-Answer-Signature";
   std::string NotRun_ = "Kumquatpitch-Not-Run";
   std::string TargetLoad_ = "Kumquatpitch-Target-Load";
+  std::string TargetRateLimit_ = "Kumquatpitch-Target-Rate-Limit";
 
   bool operator==(const GatewayHeaders &) const = default;
 };
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -11,6 +11,7 @@
 #include "kumquatpitch/name.h"
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/target-directory.h"
+#include "kumquatpitch/target-report.h"
 
 #include <map>
 #include <optional>
@@ -20,14 +21,6 @@
 
 namespace kumquatpitch {
 
-/// Load that a target reports with an answer.
-struct ReportedLoad {
-  std::uint32_t Running_ = 0;
-  std::uint32_t Waiting_ = 0;
-
-  bool operator==(const ReportedLoad &) const = default;
-};
-
 /// What the end of an attempt shows about the health of its target.
 enum class AttemptEvidence : std::uint8_t {
   Answered,    ///< The target ran the request and answered with success.
@@ -118,12 +111,17 @@
   void attemptStarted(const TargetId &Id, TimePoint Now);
 
   /// Records the end of an attempt. `Usual` is the usual latency of requests of
-  /// its kind, or 0 while it is unknown. Returns the evidence as it was
+  /// its kind, or 0 while it is unknown; `Report` is empty when the target did
+  /// not answer. Returns the evidence as it was
   /// counted: a timeout is none when the target has answered other requests
   /// meanwhile.
   AttemptEvidence attemptEnded(const TargetId &Id, TimePoint StartedAt,
                                AttemptEvidence Evidence, Duration Usual,
-                               std::optional<ReportedLoad> Load, TimePoint Now);
+                               const TargetReport &Report, TimePoint Now);
+
+  /// Requests per second that the target last said it takes from all hosts
+  /// together; NoRateLimit when it named no limit or is unknown.
+  double rateLimit(const TargetId &Id) const;
 
   /// Sets whether requests are waiting for room. While they are, trials come
   /// sooner and ejected targets that serve part of their requests are used.
@@ -179,7 +177,8 @@
     TimePoint SentAt_;                 ///< Start of the last own attempt.
     double PeerLoad_ = 0;  ///< Other hosts' requests there, by its last report.
     TimePoint PeerLoadAt_; ///< When the load was reported.
-    double Slowness_ = 1;  ///< Decayed mean of latency / usual latency.
+    double RateLimit_ = NoRateLimit; ///< As the target last named it.
+    double Slowness_ = 1; ///< Decayed mean of latency / usual latency.
     TimePoint SlownessAt_;
     std::uint32_t Failures_ = 0;  ///< Since it was last fully in use.
     std::uint32_t Successes_ = 0; ///< Since the last failure.
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -493,14 +493,14 @@
 GatewayDecision GatewayCore::attemptEnded(GatewayRequest &Request,
                                           const GatewayAttempt &Attempt,
                                           AttemptOutcome Outcome,
-                                          std::optional<ReportedLoad> Load,
+                                          const TargetReport &Report,
                                           TimePoint Now) {
   --Request.InProgress_;
   TargetBalancer &Balancer = findOrCreateService(Request.Service_).Balancer_;
   const AttemptEvidence Evidence =
       Balancer.attemptEnded(Attempt.Target_.Id_, Attempt.StartedAt_,
                             classifyAttempt(Request, Attempt, Outcome, Now),
-                            meanLatency(*Request.Route_), Load, Now);
+                            meanLatency(*Request.Route_), Report, Now);
   if (Outcome == AttemptOutcome::Success)
     recordLatency(*Request.Route_, Now - Attempt.StartedAt_);
   Request.IsLostTrial_ = Attempt.IsTrial_ && Outcome != AttemptOutcome::Success;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -34,24 +34,6 @@
   return Value;
 }
 
-/// Parses `running,waiting,slots`; the slots are ignored.
-std::optional<ReportedLoad> parseLoad(const std::string *Text) {
-  if (!Text)
-    return std::nullopt;
-  const std::size_t Comma = Text->find(',');
-  if (Comma == std::string::npos)
-    return std::nullopt;
-  const std::optional<std::int64_t> Running =
-      parseInteger(Text->substr(0, Comma));
-  const std::size_t Next = Text->find(',', Comma + 1);
-  const std::optional<std::int64_t> Waiting =
-      parseInteger(Text->substr(Comma + 1, Next - Comma - 1));
-  if (!Running || !Waiting || *Running < 0 || *Waiting < 0)
-    return std::nullopt;
-  return ReportedLoad{static_cast<std::uint32_t>(*Running),
-                      static_cast<std::uint32_t>(*Waiting)};
-}
-
 std::string formatSeconds(Duration Span) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.3f",
@@ -177,8 +159,11 @@
         [Self, Index](const CallResult &Result) {
           Self->onAttemptEnded(Index, Result);
         });
-    if (Attempt.IsTrial_ || Attempt.IsResend_)
-      logAttempt(Attempt, "sent", "");
+    const double RateLimit = rateLimitOf(Attempt.Target_);
+    if (RateLimit != NoRateLimit)
+      Dependencies_.Metrics_.count("attempts_at_limited_targets");
+    if (Attempt.IsTrial_ || Attempt.IsResend_ || RateLimit != NoRateLimit)
+      logAttempt(Attempt, "sent", "limit " + formatRateLimit(RateLimit));
     armHedge(Attempt);
   }
 
@@ -252,10 +237,10 @@
     const GatewayAttempt Attempt = Attempts_[Index].Attempt_;
     const AttemptOutcome Outcome = classifyOutcome(Result);
     const TimePoint Now = Dependencies_.Timers_.now();
+    const TargetReport Report = reportOf(Attempt, Outcome, Result.Answer_);
+    logRateLimit(Attempt, Report);
     const GatewayDecision Next = Dependencies_.Core_.attemptEnded(
-        *Request_, Attempt, Outcome,
-        parseLoad(Result.Answer_.header(Dependencies_.Headers_.TargetLoad_)),
-        Now);
+        *Request_, Attempt, Outcome, Report, Now);
     if (Next.Observation_)
       Dependencies_.EvidenceSink_.broadcastEvidence(Attempt.Target_,
                                                     *Next.Observation_);
@@ -276,6 +261,45 @@
     Front_.resumeWaitingRequests();
   }
 
+  /// The report of an answer that the target itself gave; empty for any other.
+  TargetReport reportOf(const GatewayAttempt &Attempt, AttemptOutcome Outcome,
+                        const HttpMessage &Answer) const {
+    if (Outcome != AttemptOutcome::Success &&
+        Outcome != AttemptOutcome::Failure &&
+        Outcome != AttemptOutcome::Refused)
+      return TargetReport();
+    const std::string *RateLimit =
+        Answer.header(Dependencies_.Headers_.TargetRateLimit_);
+    const TargetReport Report = parseTargetReport(
+        Answer.header(Dependencies_.Headers_.TargetLoad_), RateLimit);
+    if (!Report.RateLimit_)
+      Dependencies_.Log_.write(LogLevel::Warning, "target", "limit_malformed",
+                               {{"id", Id_},
+                                {"target", Attempt.Target_.Id_.str()},
+                                {"value", *RateLimit}});
+    return Report;
+  }
+
+  double rateLimitOf(const TargetEntry &Target) const {
+    const TargetBalancer *Targets =
+        Dependencies_.Core_.balancer(Request_->Service_);
+    return Targets ? Targets->rateLimit(Target.Id_) : NoRateLimit;
+  }
+
+  /// Logs a limit that differs from the one that the target named before.
+  void logRateLimit(const GatewayAttempt &Attempt,
+                    const TargetReport &Report) const {
+    const double Known = rateLimitOf(Attempt.Target_);
+    if (Report.RateLimit_.value_or(Known) == Known)
+      return;
+    Dependencies_.Log_.write(LogLevel::Info, "target", "limit_changed",
+                             {{"id", Id_},
+                              {"service", Request_->Service_.str()},
+                              {"target", Attempt.Target_.Id_.str()},
+                              {"limit", formatRateLimit(*Report.RateLimit_)},
+                              {"previous", formatRateLimit(Known)}});
+  }
+
   void recordAttempt(const GatewayAttempt &Attempt, AttemptOutcome Outcome,
                      const CallResult &Result) {
     Dependencies_.Metrics_.count(std::string("attempts_") +
@@ -400,7 +424,7 @@
       Current.Call_->cancel();
       Current.Call_ = nullptr;
       const GatewayDecision Decision = Dependencies_.Core_.attemptEnded(
-          *Request_, Current.Attempt_, Outcome, std::nullopt, Now);
+          *Request_, Current.Attempt_, Outcome, TargetReport(), Now);
       if (Decision.Observation_)
         Dependencies_.EvidenceSink_.broadcastEvidence(Current.Attempt_.Target_,
                                                       *Decision.Observation_);
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -294,7 +294,7 @@
 AttemptEvidence
 TargetBalancer::attemptEnded(const TargetId &Id, TimePoint StartedAt,
                              AttemptEvidence Evidence, Duration Usual,
-                             std::optional<ReportedLoad> Load, TimePoint Now) {
+                             const TargetReport &Report, TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
   if (It == States_.end())
     return Evidence;
@@ -311,12 +311,14 @@
       Evidence == AttemptEvidence::FailedLate ||
       Evidence == AttemptEvidence::Refused)
     Target.AnsweredAt_ = Now;
+  const std::optional<ReportedLoad> &Load = Report.Load_;
   if (Load) {
     const double Total = Load->Running_ + Load->Waiting_;
     Target.PeerLoad_ =
         std::max(0.0, Total - static_cast<double>(Target.Running_.size()));
     Target.PeerLoadAt_ = Now;
   }
+  Target.RateLimit_ = Report.RateLimit_.value_or(Target.RateLimit_);
   if (Evidence == AttemptEvidence::Answered) {
     const double Latency = static_cast<double>((Now - StartedAt).count());
     MeanLatencyUs_ += (Latency - MeanLatencyUs_) * MeanLatencyWeight *
@@ -422,6 +424,11 @@
   return It != States_.end() && It->second.Ejected_;
 }
 
+double TargetBalancer::rateLimit(const TargetId &Id) const {
+  const std::map<TargetId, State>::const_iterator It = States_.find(Id);
+  return It == States_.end() ? NoRateLimit : It->second.RateLimit_;
+}
+
 std::size_t TargetBalancer::ejectedCount() const {
   return static_cast<std::size_t>(
       std::count_if(States_.begin(), States_.end(),
--- /dev/null
+++ b/src/target-report.cc
@@ -0,0 +1,65 @@
+// Parsing of the headers that describe a target. See target-report.h.
+
+#include "kumquatpitch/target-report.h"
+
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace kumquatpitch {
+
+namespace {
+
+/// Parses all of `Text` as a number.
+template <class Number>
+std::optional<Number> parseNumber(const std::string &Text) {
+  Number Value = 0;
+  const char *End = Text.data() + Text.size();
+  const std::from_chars_result Parsed =
+      std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<ReportedLoad> parseLoad(const std::string &Text) {
+  const std::size_t Comma = Text.find(',');
+  if (Comma == std::string::npos)
+    return std::nullopt;
+  const std::size_t Next = Text.find(',', Comma + 1);
+  const std::optional<std::uint32_t> Running =
+      parseNumber<std::uint32_t>(Text.substr(0, Comma));
+  const std::optional<std::uint32_t> Waiting =
+      parseNumber<std::uint32_t>(Text.substr(Comma + 1, Next - Comma - 1));
+  if (!Running || !Waiting)
+    return std::nullopt;
+  return ReportedLoad{*Running, *Waiting};
+}
+
+std::optional<double> parseRateLimit(const std::string &Text) {
+  const std::optional<double> PerSecond = parseNumber<double>(Text);
+  if (!PerSecond || !std::isfinite(*PerSecond) || *PerSecond < 0)
+    return std::nullopt;
+  return PerSecond;
+}
+
+} // namespace
+
+TargetReport parseTargetReport(const std::string *Load,
+                               const std::string *RateLimit) {
+  TargetReport Report;
+  if (Load)
+    Report.Load_ = parseLoad(*Load);
+  Report.RateLimit_ = RateLimit ? parseRateLimit(*RateLimit) : NoRateLimit;
+  return Report;
+}
+
+std::string formatRateLimit(double PerSecond) {
+  if (PerSecond == NoRateLimit)
+    return "none";
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%.4g", PerSecond);
+  return Text;
+}
+
+} // namespace kumquatpitch
--- a/test/gateway-core-test.cc
+++ b/test/gateway-core-test.cc
@@ -79,7 +79,7 @@
                              const GatewayAttempt &Attempt,
                              AttemptOutcome Outcome, std::int64_t DurationMs) {
     Now_ += DurationMs;
-    return Core_.attemptEnded(*Request, Attempt, Outcome, std::nullopt,
+    return Core_.attemptEnded(*Request, Attempt, Outcome, TargetReport(),
                               atMs(Now_));
   }
 
@@ -222,7 +222,7 @@
   std::vector<const GatewayRequest *> PlacedOrder;
   for (std::size_t Index = 0; Index < 3; ++Index) {
     Core_.attemptEnded(*Held[Index].first, Held[Index].second,
-                       AttemptOutcome::Success, std::nullopt, atMs(Now_));
+                       AttemptOutcome::Success, TargetReport(), atMs(Now_));
     for (const std::pair<std::shared_ptr<GatewayRequest>, Placement> &Entry :
          Core_.placeQueuedRequests(atMs(Now_)))
       if (std::holds_alternative<GatewayAttempt>(Entry.second))
--- a/test/gateway-load-test.cc
+++ b/test/gateway-load-test.cc
@@ -279,8 +279,9 @@
     const TargetState &Target = Targets_.at(Attempt.Target_.Id_);
     const GatewayDecision Next = Hosts_[Request->Host_]->attemptEnded(
         *Request->GatewayRequest_, Attempt, Outcome,
-        ReportedLoad{Target.Running_,
-                     static_cast<std::uint32_t>(Target.Queue_.size())},
+        TargetReport{ReportedLoad{Target.Running_, static_cast<std::uint32_t>(
+                                                       Target.Queue_.size())},
+                     NoRateLimit},
         atMs(Now_));
     if (Next.Observation_)
       for (std::size_t Index = 0; Index < Hosts_.size(); ++Index)
--- a/test/target-balancer-test.cc
+++ b/test/target-balancer-test.cc
@@ -49,7 +49,7 @@
     Balancer_.attemptStarted(Id, atMs(Now_));
     Now_ += DurationMs;
     Balancer_.attemptEnded(Id, atMs(Now_ - DurationMs), Evidence, ms(200),
-                           std::nullopt, atMs(Now_));
+                           TargetReport(), atMs(Now_));
   }
 
   /// Returns whether 30 picks without load choose the target at least once.
@@ -183,8 +183,8 @@
         const bool IsOver = Now_ - It->second >= 2'000;
         if (IsOver)
           Balancer_.attemptEnded(It->first, atMs(It->second),
-                                 AttemptEvidence::Silent, ms(200), std::nullopt,
-                                 atMs(Now_));
+                                 AttemptEvidence::Silent, ms(200),
+                                 TargetReport(), atMs(Now_));
         It = IsOver ? SilentSince.erase(It) : std::next(It);
       }
       const std::optional<TargetPick> Pick = pick(false);
@@ -202,7 +202,7 @@
                                Healths[Index] == Health::Good
                                    ? AttemptEvidence::Answered
                                    : AttemptEvidence::Failed,
-                               ms(200), std::nullopt, atMs(Now_));
+                               ms(200), TargetReport(), atMs(Now_));
     }
     for (int Index = 0; Index < Targets; ++Index)
       CHECK(Healths[Index] != Health::Failing ||
@@ -353,7 +353,8 @@
   useTargets(1);
   Balancer_.attemptStarted(TargetId("t0"), atMs(Now_));
   Balancer_.attemptEnded(TargetId("t0"), atMs(Now_), AttemptEvidence::Refused,
-                         ms(200), ReportedLoad{3, 12}, atMs(Now_));
+                         ms(200), TargetReport{ReportedLoad{3, 12}, {}},
+                         atMs(Now_));
   Now_ += 400;
   CHECK_FALSE(pick(false).has_value());
   Now_ += 1'000;
