--- a/test/gateway-load-test.cc
+++ b/test/gateway-load-test.cc
@@ -27,7 +27,11 @@
 /// Model of hosts that share targets. Each target has slots and a short queue.
 class LoadModel {
 public:
-  LoadModel(int Targets, int Hosts, std::uint64_t Seed) : Random_(Seed) {
+  /// Callers are given the first `CallerHosts` of the hosts, or all of them if
+  /// it is 0. They send seven in ten requests to these.
+  LoadModel(int Targets, int Hosts, std::uint64_t Seed,
+            std::size_t CallerHosts = 0)
+      : Random_(Seed), CallerHosts_(CallerHosts) {
     RoutingConfig Config;
     Config.Version_ = 1;
     for (const bool Idempotent : {true, false}) {
@@ -59,6 +63,11 @@
     for (int Index = 0; Index < Hosts; ++Index)
       Group.push_back(
           {HostId("h" + std::to_string(Index)), FailureDomain("a")});
+    const std::vector<AssignedHost> Assigned(
+        Group.begin(),
+        CallerHosts == 0
+            ? Group.end()
+            : Group.begin() + static_cast<std::ptrdiff_t>(CallerHosts));
     for (int Index = 0; Index < Hosts; ++Index) {
       HostRandom_.push_back(std::make_unique<SeededRandom>(Seed + 1 + Index));
       Hosts_.push_back(std::make_unique<GatewayCore>(
@@ -67,7 +76,7 @@
           *HostRandom_.back()));
       Hosts_.back()->setTable(Table);
       Hosts_.back()->setTargets(Entries, atMs(0));
-      Hosts_.back()->setCallerHosts({{ServiceName("desk"), Group}},
+      Hosts_.back()->setCallerHosts({{ServiceName("desk"), Assigned}},
                                     Group.size());
     }
   }
@@ -91,6 +100,44 @@
         IsHanging ? std::numeric_limits<std::int64_t>::max() / 2 : Now_;
   }
 
+  /// Makes a target name a rate limit in its answers from now on.
+  void setRateLimit(int Index, double PerSecond) {
+    TargetState &Target = Targets_.at(TargetId("t" + std::to_string(Index)));
+    Target.RateLimit_ = PerSecond;
+    Target.LimitedSince_ = Now_;
+  }
+
+  /// Largest number of requests that a target got in 4 s from hosts that had
+  /// its limit in an answer half a second before, in relation to what the
+  /// users' rule allows: one and a half times the limit and five requests, for
+  /// spans that end 3 s or more after the target first named its limit.
+  double largestUseOfRateLimit(int Index) const {
+    constexpr std::int64_t SpanMs = 4'000;
+    constexpr std::int64_t LearningMs = 3'000;
+    constexpr std::int64_t ToldMs = 500;
+    const TargetState &Target =
+        Targets_.at(TargetId("t" + std::to_string(Index)));
+    std::vector<std::int64_t> Counted;
+    for (const std::pair<std::int64_t, std::size_t> &Arrival :
+         Target.ArrivalsByHost_) {
+      const std::map<std::size_t, std::int64_t>::const_iterator Told =
+          Target.ToldAt_.find(Arrival.second);
+      if (Told != Target.ToldAt_.end() &&
+          Arrival.first >= Told->second + ToldMs)
+        Counted.push_back(Arrival.first);
+    }
+    double Largest = 0;
+    const double Allowed = 1.5 * Target.RateLimit_ * SpanMs / 1'000 + 5;
+    for (std::size_t First = 0, Last = 0; Last < Counted.size(); ++Last) {
+      while (Counted[First] <= Counted[Last] - SpanMs)
+        ++First;
+      if (Counted[Last] >= Target.LimitedSince_ + LearningMs)
+        Largest =
+            std::max(Largest, static_cast<double>(Last - First + 1) / Allowed);
+    }
+    return Largest;
+  }
+
   /// Smallest share of the sound targets that got a request, over all spans of
   /// 2 s in which more than a tenth and less than half of the requests were not
   /// served. A target is sound when it neither hangs nor has for 6 s, and has
@@ -173,6 +220,11 @@
   struct TargetState {
     int GrayPercent_ = 0;
     int ShedPercent_ = 0;
+    double RateLimit_ = NoRateLimit;
+    std::int64_t LimitedSince_ = 0;
+    /// When a host first got an answer that named the limit, by host.
+    std::map<std::size_t, std::int64_t> ToldAt_;
+    std::vector<std::pair<std::int64_t, std::size_t>> ArrivalsByHost_;
     bool IsHanging_ = false;
     std::int64_t HungUntil_ = std::numeric_limits<std::int64_t>::min() / 2;
     std::vector<std::int64_t> ArrivedAt_; ///< Times of arrivals, ascending.
@@ -191,7 +243,11 @@
   void arrive(bool IsIdempotent) {
     const std::shared_ptr<ModelRequest> Request =
         std::make_shared<ModelRequest>();
-    Request->Host_ = Random_.below(Hosts_.size());
+    constexpr std::uint64_t CallerHostPercent = 70;
+    const bool UsesCallerHost =
+        CallerHosts_ > 0 && Random_.below(100) < CallerHostPercent;
+    Request->Host_ =
+        Random_.below(UsesCallerHost ? CallerHosts_ : Hosts_.size());
     Request->IsBooking_ = !IsIdempotent;
     Request->ArrivedAt_ = Now_;
     ++tallyFor(*Request).Arrived_;
@@ -228,6 +284,7 @@
     ++SentAttempts_;
     TargetState &Target = Targets_.at(Attempt.Target_.Id_);
     Target.ArrivedAt_.push_back(Now_);
+    Target.ArrivalsByHost_.emplace_back(Now_, Request->Host_);
     if (Target.IsHanging_)
       return at(Request->ArrivedAt_ + DeadlineMs, [this, Request, Attempt] {
         handleAttemptEnd(Request, Attempt, AttemptOutcome::TimedOut);
@@ -276,12 +333,14 @@
 
   void handleAttemptEnd(const std::shared_ptr<ModelRequest> &Request,
                         const GatewayAttempt &Attempt, AttemptOutcome Outcome) {
-    const TargetState &Target = Targets_.at(Attempt.Target_.Id_);
+    TargetState &Target = Targets_.at(Attempt.Target_.Id_);
+    if (Target.RateLimit_ != NoRateLimit)
+      Target.ToldAt_.emplace(Request->Host_, Now_);
     const GatewayDecision Next = Hosts_[Request->Host_]->attemptEnded(
         *Request->GatewayRequest_, Attempt, Outcome,
         TargetReport{ReportedLoad{Target.Running_, static_cast<std::uint32_t>(
                                                        Target.Queue_.size())},
-                     NoRateLimit},
+                     Target.RateLimit_},
         atMs(Now_));
     if (Next.Observation_)
       for (std::size_t Index = 0; Index < Hosts_.size(); ++Index)
@@ -338,6 +397,7 @@
   }
 
   SeededRandom Random_;
+  const std::size_t CallerHosts_;
   std::vector<std::unique_ptr<SeededRandom>> HostRandom_;
   std::vector<std::unique_ptr<GatewayCore>> Hosts_;
   std::map<TargetId, TargetState> Targets_;
@@ -505,3 +565,30 @@
     CHECK(Model.smallestShareInUse() >= 0.7);
   }
 }
+
+// Guards against targets that get more requests than the limit that they name,
+// when each host knows the limit and the sum over the hosts exceeds it.
+// Pattern: four of six targets take 1 to 6.6 requests a second from all hosts
+// together. The limited targets and the two others can serve 32 of 18 requests
+// a second.
+TEST(GatewayLoad, AllHostsTogetherKeepTheRateLimitsOfTargets) {
+  constexpr int Limited = 4;
+  struct Fleet {
+    int Hosts_;
+    std::size_t CallerHosts_;
+  };
+  for (const Fleet &Size : {Fleet{3, 3}, Fleet{36, 3}, Fleet{293, 20}}) {
+    LoadModel Model(6, Size.Hosts_, 31, Size.CallerHosts_);
+    for (int Index = 0; Index < Limited; ++Index)
+      Model.at(3'000, [&Model, Index] {
+        constexpr double Limits[Limited] = {1, 1, 3.4, 6.6};
+        Model.setRateLimit(Index, Limits[Index]);
+      });
+    Model.run(30'000, 18, 60);
+    for (int Index = 0; Index < Limited; ++Index)
+      CHECK(Model.largestUseOfRateLimit(Index) <= 1);
+    const int Arrived = Model.Bookings_.Arrived_ + Model.Lookups_.Arrived_;
+    const int Served = Model.Bookings_.Served_ + Model.Lookups_.Served_;
+    CHECK(Served >= Arrived * 97 / 100);
+  }
+}
