--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -13,6 +13,7 @@
 #include "kumquatpitch/result-code.h"
 #include "kumquatpitch/routing-config.h"
 #include "kumquatpitch/target-balancer.h"
+#include "kumquatpitch/traffic-split.h"
 
 #include <map>
 #include <memory>
@@ -218,7 +219,6 @@
   using PlacedRequests =
       std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>;
 
-  const ServiceName &chooseService(const VirtualRoute &Route);
   ResendLimits resendLimits(const ServiceName &Name) const;
   Duration meanLatency(const VirtualRoute &Route) const;
   Duration expectedLatency(const VirtualRoute &Route) const;
@@ -259,9 +259,7 @@
   double DefaultSlackShare_ = 0; ///< For all other services.
   std::shared_ptr<const RouteTable> Table_;
   std::map<ServiceName, ServiceState> Services_;
-  /// Smooth weighted round robin of routes that split their requests between
-  /// services: the current credit of each share, by route.
-  std::map<std::string, std::vector<double>> SplitCredits_;
+  TrafficSplit Split_;
   /// Moving average of each route's latency, in microseconds.
   std::map<std::string, double> Latencies_;
 };
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -9,7 +9,7 @@
 #include "kumquatpitch/gateway-platform.h"
 #include "kumquatpitch/gateway-settings.h"
 #include "kumquatpitch/host-membership.h"
-#include "kumquatpitch/peer-datagram.h"
+#include "kumquatpitch/peer-channel.h"
 #include "kumquatpitch/store-follower.h"
 
 #include <array>
@@ -42,17 +42,13 @@
   void handleDatagram(const std::string &Bytes,
                       const std::string &SenderAddress);
   void handlerFailed(const char *Text);
-  void send(const std::string &Address, const PeerDatagram &Message);
-  void sendBytes(const std::string &Address, const std::string &Bytes);
   void send(const std::vector<OutgoingProbe> &Probes);
-  void sendToOwnDomain(const PeerDatagram &Message);
   void tick();
   void startRead(const ReadRequest &Order);
   void onReadEnded(const ReadRequest &Order, const PublishedRead &Read);
   void apply(const FollowResult &Result);
   void logUnknownKinds(const RoutingConfig &Config);
   void sendChangesToOwnDomain(const StoreChangesMessage &Message);
-  void sendEvidenceToOwnDomain(const EvidenceMessage &Message);
   void updateCallerHosts();
   void sendOutcomeCounts(TimePoint Now);
   void updateState();
@@ -88,6 +84,7 @@
   HttpServer DirectoryServer_;
   HttpServer MetricsServer_;
   asio::ip::udp::socket Datagrams_;
+  PeerChannel Peers_;
   asio::ip::udp::endpoint Sender_;
   std::array<char, 2'048> DatagramBuffer_;
   asio::signal_set Signals_;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -66,10 +66,6 @@
   return std::min(Request.ArrivedAt_ + Objective, Request.DeadlineAt_);
 }
 
-std::string routeKey(const VirtualRoute &Route) {
-  return Route.Host_ + " " + Route.Prefix_;
-}
-
 } // namespace
 
 const char *attemptOutcomeName(AttemptOutcome Outcome) {
@@ -99,7 +95,7 @@
 
 void GatewayCore::setTable(std::shared_ptr<const RouteTable> Table) {
   Table_ = std::move(Table);
-  SplitCredits_.clear();
+  Split_.reset();
 }
 
 GatewayCore::ServiceState &
@@ -125,38 +121,6 @@
   return GatewayRefusal{Code, httpStatus(Code), RetryAfter};
 }
 
-/// One step of smooth weighted round robin; returns the index of the next
-/// share.
-static std::size_t nextShare(const std::vector<ServiceShare> &Shares,
-                             std::vector<double> &Credits) {
-  double Total = 0;
-  std::size_t Best = 0;
-  for (std::size_t Index = 0; Index < Shares.size(); ++Index) {
-    Total += Shares[Index].Weight_;
-    Credits[Index] += Shares[Index].Weight_;
-    if (Credits[Index] > Credits[Best])
-      Best = Index;
-  }
-  Credits[Best] -= Total;
-  return Best;
-}
-
-const ServiceName &GatewayCore::chooseService(const VirtualRoute &Route) {
-  if (Route.Shares_.size() == 1)
-    return Route.Shares_.front().Service_;
-  std::vector<double> &Credits = SplitCredits_[routeKey(Route)];
-  if (Credits.size() != Route.Shares_.size()) {
-    // Each host starts at a random position of the sequence. If all hosts
-    // started at the first one and had few requests each, the smaller shares
-    // would get too few requests in total.
-    Credits.assign(Route.Shares_.size(), 0);
-    constexpr std::uint64_t MaxSteps = 1'000;
-    for (std::uint64_t Steps = Random_.below(MaxSteps); Steps > 0; --Steps)
-      nextShare(Route.Shares_, Credits);
-  }
-  return Route.Shares_[nextShare(Route.Shares_, Credits)].Service_;
-}
-
 std::variant<GatewayRefusal, std::shared_ptr<GatewayRequest>>
 GatewayCore::admit(const RequestHead &Head, TimePoint Now) {
   if (!Table_)
@@ -168,7 +132,7 @@
       std::make_shared<GatewayRequest>();
   Request->Table_ = Table_;
   Request->Route_ = Route;
-  Request->Service_ = chooseService(*Route);
+  Request->Service_ = Split_.choose(*Route, Random_);
   Request->ArrivedAt_ = Now;
   Duration TimeLeft = Route->Timeout_;
   if (Head.TimeLeft_)
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -170,6 +170,7 @@
       ReadyServer_(Context_, *DirectoryHandler_),
       DirectoryServer_(Context_, *DirectoryHandler_),
       MetricsServer_(Context_, *MetricsHandler_), Datagrams_(Context_),
+      Peers_(Datagrams_, Settings_.PeerPort_, Membership_, Random_, Metrics_),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
   TargetClient_.setMaxBufferedBytes(Settings_.MemoryBytes_ /
                                     MemoryForAnswersDivisor);
@@ -295,8 +296,11 @@
         It->second.StartedUnixMs_ == Evidence->StartedUnixMs_)
       Core_.applyPeerObservation(Evidence->Service_, Evidence->Target_,
                                  Evidence->Observation_, Now);
-    if (Evidence->Forward_)
-      sendEvidenceToOwnDomain(*Evidence);
+    if (Evidence->Forward_) {
+      EvidenceMessage LastHop = *Evidence;
+      LastHop.Forward_ = false;
+      Peers_.sendToOwnDomain(LastHop);
+    }
   } else if (const OutcomeCountsMessage *Counts =
                  std::get_if<OutcomeCountsMessage>(&*Datagram)) {
     for (const std::pair<const ServiceName, RequestOutcomeCounts> &Entry :
@@ -305,25 +309,9 @@
   }
 }
 
-void GatewayDaemon::send(const std::string &Address,
-                         const PeerDatagram &Message) {
-  sendBytes(Address, encodeDatagram(Message));
-}
-
-void GatewayDaemon::sendBytes(const std::string &Address,
-                              const std::string &Bytes) {
-  asio::error_code Error;
-  const asio::ip::udp::endpoint Peer(asio::ip::make_address(Address, Error),
-                                     Settings_.PeerPort_);
-  if (!Error)
-    Datagrams_.send_to(asio::buffer(Bytes), Peer, 0, Error);
-  if (Error)
-    Metrics_.count("peer_datagrams_not_sent");
-}
-
 void GatewayDaemon::send(const std::vector<OutgoingProbe> &Probes) {
   for (const OutgoingProbe &Probe : Probes)
-    send(Probe.Address_, Probe.Message_);
+    Peers_.send(Probe.Address_, Probe.Message_);
 }
 
 void GatewayDaemon::tick() {
@@ -423,15 +411,7 @@
 
 void GatewayDaemon::sendChangesToOwnDomain(const StoreChangesMessage &Message) {
   for (const StoreChangesMessage &Part : splitStoreChanges(Message))
-    sendToOwnDomain(Part);
-}
-
-void GatewayDaemon::sendToOwnDomain(const PeerDatagram &Message) {
-  const std::string Bytes = encodeDatagram(Message);
-  for (const Member &Host : Membership_.members())
-    if (Host.Domain_ == Settings_.Domain_ && Host.Id_ != Settings_.Id_ &&
-        Host.isAlive())
-      sendBytes(Host.Address_, Bytes);
+    Peers_.sendToOwnDomain(Part);
 }
 
 void GatewayDaemon::broadcastEvidence(const TargetEntry &Target,
@@ -445,24 +425,9 @@
     LastSent = Now;
   const EvidenceMessage Message{Target.Service_, Target.Id_,
                                 Target.StartedUnixMs_, Observation, true};
-  // Traffic between failure domains is costly, so each other domain gets one
-  // message, and the host that receives it forwards it within its domain.
-  std::map<FailureDomain, std::vector<const Member *>> OtherDomains;
-  const std::vector<Member> Members = Membership_.members();
-  for (const Member &Host : Members)
-    if (Host.Domain_ != Settings_.Domain_ &&
-        Host.State_ == MemberState::Serving)
-      OtherDomains[Host.Domain_].push_back(&Host);
-  for (const std::pair<const FailureDomain, std::vector<const Member *>>
-           &Domain : OtherDomains)
-    send(Domain.second[Random_.below(Domain.second.size())]->Address_, Message);
-  sendEvidenceToOwnDomain(Message);
-}
-
-void GatewayDaemon::sendEvidenceToOwnDomain(const EvidenceMessage &Message) {
   EvidenceMessage LastHop = Message;
   LastHop.Forward_ = false;
-  sendToOwnDomain(LastHop);
+  Peers_.sendToAll(Message, LastHop);
 }
 
 void GatewayDaemon::updateCallerHosts() {
@@ -518,7 +483,7 @@
   }
   for (const std::pair<const std::string, OutcomeCountsMessage> &Entry :
        Messages)
-    send(Entry.first, Entry.second);
+    Peers_.send(Entry.first, Entry.second);
 }
 
 /// After its start, a host that may still lack target entries does not serve
