Divide a target's rate limit among the hosts and keep it

Cause: no host read the limit, so nothing bounded the requests of all hosts to a target but its slots and its reported load. A bound in each host alone would not have been enough: 16 to 35 of 48 hosts sent to each limited target.

Ruled out: trials and resends as the main cause, they were 36 of 546 attempts.

Now each host divides the limit among the hosts that callers are given, in proportion to the requests that they report to each other anyway, and keeps its own part with a token bucket that all attempts draw on: usual placements, resends, hedged attempts, trials and the last resort. Only as many hosts have a part as may send one request at the same moment without exceeding the limit; weighted rendezvous hashing chooses them for each target. Hosts tell each other when a limit begins, changes and ends, since a host without a part gets no answers. A request for which only limited targets of other hosts are left is refused at once.

Why it works: the parts of one target add up to its limit on hosts with the same reports, a part that moves begins empty, and the buckets together hold less than the rule's allowance, so that differing views have room.

Tried and not kept: equal parts for the first hosts of the order of trials.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -11,9 +11,9 @@
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/resend-budget.h"
 #include "kumquatpitch/result-code.h"
+#include "kumquatpitch/route-split.h"
 #include "kumquatpitch/routing-config.h"
 #include "kumquatpitch/target-balancer.h"
-#include "kumquatpitch/traffic-split.h"
 
 #include <map>
 #include <memory>
@@ -138,7 +138,7 @@
   /// get a small part of the slack.
   void setCallerHosts(
       const std::map<ServiceName, std::vector<AssignedHost>> &HostsByService,
-      std::size_t AliveHosts);
+      std::size_t AliveHosts, TimePoint Now);
 
   bool hasTable() const { return Table_ != nullptr; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
@@ -193,6 +193,12 @@
   void recordPeerOutcomes(const HostId &From, const ServiceName &Name,
                           const RequestOutcomeCounts &Counts, TimePoint Now);
 
+  /// Rate limits of targets of which the other hosts should be told now.
+  std::vector<NamedRateLimit> takeRateLimitNews(TimePoint Now);
+
+  /// Records a rate limit that a target named to another host.
+  void recordPeerRateLimit(const NamedRateLimit &Limit, TimePoint Now);
+
   /// Records what another host reported about a target.
   void applyPeerObservation(const ServiceName &Name, const TargetId &Id,
                             TargetObservation Observation, TimePoint Now);
@@ -259,7 +265,7 @@
   double DefaultSlackShare_ = 0; ///< For all other services.
   std::shared_ptr<const RouteTable> Table_;
   std::map<ServiceName, ServiceState> Services_;
-  TrafficSplit Split_;
+  RouteSplit Split_;
   /// Moving average of each route's latency, in microseconds.
   std::map<std::string, double> Latencies_;
 };
--- a/include/kumquatpitch/peer-datagram.h
+++ b/include/kumquatpitch/peer-datagram.h
@@ -36,8 +36,19 @@
   bool operator==(const OutcomeCountsMessage &) const = default;
 };
 
-using PeerDatagram = std::variant<ProbeMessage, StoreChangesMessage,
-                                  EvidenceMessage, OutcomeCountsMessage>;
+/// Rate limits that targets named to one host.
+struct RateLimitsMessage {
+  std::vector<NamedRateLimit> Limits_;
+  /// The receiver forwards the message to the other hosts of its failure
+  /// domain.
+  bool Forward_ = false;
+
+  bool operator==(const RateLimitsMessage &) const = default;
+};
+
+using PeerDatagram =
+    std::variant<ProbeMessage, StoreChangesMessage, EvidenceMessage,
+                 OutcomeCountsMessage, RateLimitsMessage>;
 
 /// Maximum number of services in one OutcomeCountsMessage. A message with this
 /// many services fits into one datagram even if all names have the maximum
@@ -53,6 +64,10 @@
 /// Fails with PeerMessageMalformed or PeerVersionUnknown.
 Result<PeerDatagram> decodeDatagram(const std::string &Bytes);
 
+/// Divides the limits among messages that fit into one datagram each.
+std::vector<RateLimitsMessage>
+splitRateLimits(const std::vector<NamedRateLimit> &Limits);
+
 /// Splits the changes into messages that fit into one datagram each. Each
 /// message begins at the revision at which the previous one ends.
 std::vector<StoreChangesMessage>
--- a/include/kumquatpitch/traffic-split.h
+++ b/include/kumquatpitch/route-split.h
@@ -1,8 +1,8 @@
 // Divides the requests of a route among its services by their weights. Used by
 // GatewayCore. Does no I/O and reads no clock.
 
-#ifndef KUMQUATPITCH_TRAFFIC_SPLIT_H
-#define KUMQUATPITCH_TRAFFIC_SPLIT_H
+#ifndef KUMQUATPITCH_ROUTE_SPLIT_H
+#define KUMQUATPITCH_ROUTE_SPLIT_H
 
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/routing-config.h"
@@ -16,7 +16,7 @@
 /// Identifies a route across configurations.
 std::string routeKey(const VirtualRoute &Route);
 
-class TrafficSplit {
+class RouteSplit {
 public:
   /// Returns the service of the route's next request: smooth weighted round
   /// robin over the route's shares.
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -10,7 +10,9 @@
 
 #include "kumquatpitch/name.h"
 #include "kumquatpitch/random-source.h"
+#include "kumquatpitch/rate-limit-share.h"
 #include "kumquatpitch/target-directory.h"
+#include "kumquatpitch/target-rate-limit.h"
 #include "kumquatpitch/target-report.h"
 
 #include <map>
@@ -99,10 +101,11 @@
 
   /// Sets the hosts that share the service's requests. They send trial requests
   /// to an ejected target in turn, in an order that every host computes alike.
-  void setAssignedHosts(std::vector<AssignedHost> Hosts);
+  void setAssignedHosts(std::vector<AssignedHost> Hosts, TimePoint Now);
 
-  /// Picks an untried target: one that is due for a trial request, otherwise
-  /// the one with room and the lowest expected cost. Returns nothing when there
+  /// Picks an untried target whose rate limit allows a request of this host:
+  /// one that is due for a trial request, otherwise the one with room and the
+  /// lowest expected cost. Returns nothing when there
   /// is neither, unless `IsLastResort_` is set and an ejected one has room.
   std::optional<TargetPick> pick(const PickConstraints &Constraints,
                                  TimePoint Now, RandomSource &Random);
@@ -121,7 +124,17 @@
 
   /// Requests per second that the target last said it takes from all hosts
   /// together; NoRateLimit when it named no limit or is unknown.
-  double rateLimit(const TargetId &Id) const;
+  double rateLimit(const TargetId &Id, TimePoint Now) const;
+
+  /// Divides the targets' rate limits among the assigned hosts. Call it a few
+  /// times a second.
+  void updateRateLimitShares(TimePoint Now);
+
+  /// Rate limits of which the other hosts should be told now.
+  std::vector<NamedRateLimit> takeRateLimitNews(TimePoint Now);
+
+  /// Records a rate limit that a target named to another host.
+  void recordPeerRateLimit(const NamedRateLimit &Limit, TimePoint Now);
 
   /// Sets whether requests are waiting for room. While they are, trials come
   /// sooner and ejected targets that serve part of their requests are used.
@@ -159,8 +172,9 @@
 
   /// Describes each target in one word for logs: this host's requests in
   /// progress, those of other hosts, then `l` when leaving, `g` when another
-  /// instance answers at its address, `e` when ejected, `p` on probation, `f`
-  /// when it refused as full, and `o` in the own failure domain.
+  /// instance answers at its address, `r` when its rate limit allows no request
+  /// of this host now, `e` when ejected, `p` on probation, `f` when it refused
+  /// as full, and `o` in the own failure domain.
   std::string describe(TimePoint Now) const;
 
   std::size_t size() const { return States_.size(); }
@@ -177,7 +191,7 @@
     TimePoint SentAt_;                 ///< Start of the last own attempt.
     double PeerLoad_ = 0;  ///< Other hosts' requests there, by its last report.
     TimePoint PeerLoadAt_; ///< When the load was reported.
-    double RateLimit_ = NoRateLimit; ///< As the target last named it.
+    TargetRateLimit RateLimit_;
     double Slowness_ = 1; ///< Decayed mean of latency / usual latency.
     TimePoint SlownessAt_;
     std::uint32_t Failures_ = 0;  ///< Since it was last fully in use.
@@ -205,7 +219,8 @@
 
     /// True when it gets no requests at all, not even trials.
     bool isUnavailable(TimePoint Now) const {
-      return Entry_.Leaving_ || (GoneUntil_ && Now < *GoneUntil_);
+      return Entry_.Leaving_ || (GoneUntil_ && Now < *GoneUntil_) ||
+             RateLimit_.ownPerSecond(Now) == 0;
     }
   };
 
@@ -231,6 +246,11 @@
   Duration trialPause(const State &Target, bool IsRetryable,
                       TimePoint Now) const;
   Duration turnDelay(const State &Target) const;
+  void updateRank(State &Target) const;
+  void updateRateLimitShare(State &Target,
+                            const std::vector<HostWeight> &Weights,
+                            TimePoint Now) const;
+  double completionRate(const State &Target, TimePoint Now) const;
   std::size_t rankOf(const TargetEntry &Entry) const;
   double unservedShare(TimePoint Now) const;
   bool mayBeTrial(const PickConstraints &Constraints, TimePoint Now) const;
@@ -267,6 +287,7 @@
   FailureDomain OwnDomain_;
   double FloorShare_;
   std::vector<AssignedHost> AssignedHosts_;
+  HostDemand Demand_;
   /// Most trials of unresponsive targets that this host makes at once; see
   /// pickBasis().
   std::size_t MaxUnresponsiveTrials_ = 1;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -146,12 +146,12 @@
 
 void GatewayCore::setCallerHosts(
     const std::map<ServiceName, std::vector<AssignedHost>> &HostsByService,
-    std::size_t AliveHosts) {
+    std::size_t AliveHosts, TimePoint Now) {
   SlackShares_.clear();
   for (const std::pair<const ServiceName, std::vector<AssignedHost>> &Service :
        HostsByService) {
     ServiceState &State = findOrCreateService(Service.first);
-    State.Balancer_.setAssignedHosts(Service.second);
+    State.Balancer_.setAssignedHosts(Service.second, Now);
     State.CallerHosts_ = std::max<std::size_t>(1, Service.second.size());
     if (std::any_of(Service.second.begin(), Service.second.end(),
                     [&](const AssignedHost &Host) {
@@ -573,6 +573,24 @@
     It->second.Balancer_.recordPeerOutcomes(From, Counts, Now);
 }
 
+std::vector<NamedRateLimit> GatewayCore::takeRateLimitNews(TimePoint Now) {
+  std::vector<NamedRateLimit> News;
+  for (std::pair<const ServiceName, ServiceState> &Service : Services_) {
+    Service.second.Balancer_.updateRateLimitShares(Now);
+    std::ranges::move(Service.second.Balancer_.takeRateLimitNews(Now),
+                      std::back_inserter(News));
+  }
+  return News;
+}
+
+void GatewayCore::recordPeerRateLimit(const NamedRateLimit &Limit,
+                                      TimePoint Now) {
+  const std::map<ServiceName, ServiceState>::iterator It =
+      Services_.find(Limit.Service_);
+  if (It != Services_.end())
+    It->second.Balancer_.recordPeerRateLimit(Limit, Now);
+}
+
 void GatewayCore::applyPeerObservation(const ServiceName &Name,
                                        const TargetId &Id,
                                        TargetObservation Observation,
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -35,6 +35,9 @@
 /// group a random sample is sufficient, and the number of messages that a host
 /// sends does not grow with the fleet.
 constexpr std::size_t MaxOutcomeCountRecipients = 8;
+/// How often news of targets' rate limits is sent. The users' rule begins to
+/// count a host's requests half a second after an answer named the limit to it.
+constexpr Duration RateLimitNewsPeriod = std::chrono::milliseconds(200);
 /// Repeated failures of a target are sent to the other hosts at most once in
 /// this time.
 constexpr Duration EvidenceInterval = std::chrono::milliseconds(300);
@@ -216,6 +219,8 @@
   Timers_.subscribe(TickPeriod, [this](TimePoint) { tick(); });
   Timers_.subscribe(OutcomeCountPeriod,
                     [this](TimePoint Now) { sendOutcomeCounts(Now); });
+  Timers_.subscribe(RateLimitNewsPeriod,
+                    [this](TimePoint Now) { sendRateLimitNews(Now); });
   Timers_.subscribe(SettingsCheckPeriod,
                     [this](TimePoint) { checkSettings(false); });
   tick();
@@ -306,6 +311,12 @@
     for (const std::pair<const ServiceName, RequestOutcomeCounts> &Entry :
          Counts->Services_)
       Core_.recordPeerOutcomes(Counts->From_, Entry.first, Entry.second, Now);
+  } else if (const RateLimitsMessage *Limits =
+                 std::get_if<RateLimitsMessage>(&*Datagram)) {
+    for (const NamedRateLimit &Limit : Limits->Limits_)
+      Core_.recordPeerRateLimit(Limit, Now);
+    if (Limits->Forward_)
+      Peers_.sendToOwnDomain(RateLimitsMessage{Limits->Limits_, false});
   }
 }
 
@@ -462,7 +473,7 @@
       if (Host.first != Settings_.Id_)
         CallerHostAddresses_[Service.first].push_back(Host.second.Address_);
     }
-  Core_.setCallerHosts(CallerHosts, Alive);
+  Core_.setCallerHosts(CallerHosts, Alive, Timers_.now());
 }
 
 void GatewayDaemon::sendOutcomeCounts(TimePoint Now) {
@@ -486,6 +497,12 @@
     Peers_.send(Entry.first, Entry.second);
 }
 
+void GatewayDaemon::sendRateLimitNews(TimePoint Now) {
+  for (const RateLimitsMessage &Part :
+       splitRateLimits(Core_.takeRateLimitNews(Now)))
+    Peers_.sendToAll(RateLimitsMessage{Part.Limits_, true}, Part);
+}
+
 /// After its start, a host that may still lack target entries does not serve
 /// while at least half of the known hosts do.
 bool GatewayDaemon::canServe() const {
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -283,7 +283,8 @@
   double rateLimitOf(const TargetEntry &Target) const {
     const TargetBalancer *Targets =
         Dependencies_.Core_.balancer(Request_->Service_);
-    return Targets ? Targets->rateLimit(Target.Id_) : NoRateLimit;
+    return Targets ? Targets->rateLimit(Target.Id_, Dependencies_.Timers_.now())
+                   : NoRateLimit;
   }
 
   /// Logs a limit that differs from the one that the target named before.
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -14,11 +14,14 @@
 
 /// The first element of every message; the second is its kind.
 constexpr int FormatVersion = 1;
+/// News of a rate limit is sent within seconds; older news has no use.
+constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
 enum class MessageKind : std::uint8_t {
   Probe = 1,
   Progress = 2,
   Evidence = 3,
-  OutcomeCounts = 4
+  OutcomeCounts = 4,
+  RateLimits = 5
 };
 
 Json toJson(const Member &Host) {
@@ -73,6 +76,28 @@
   return Change;
 }
 
+/// A target that names no limit has an empty value in its place.
+Json toJson(const NamedRateLimit &Limit) {
+  const Json PerSecond =
+      Limit.PerSecond_ == NoRateLimit ? Json(nullptr) : Json(Limit.PerSecond_);
+  return Json::array({Limit.Service_.str(), Limit.Target_.str(),
+                      Limit.StartedUnixMs_, PerSecond, Limit.Age_.count()});
+}
+
+NamedRateLimit decodeRateLimit(const Json &Array) {
+  const Json &PerSecond = Array.at(3);
+  NamedRateLimit Limit{ServiceName(Array.at(0).get<std::string>()),
+                       TargetId(Array.at(1).get<std::string>()),
+                       Array.at(2).get<std::uint64_t>(),
+                       PerSecond.is_null() ? NoRateLimit
+                                           : PerSecond.get<double>(),
+                       Duration(Array.at(4).get<Duration::rep>())};
+  if (!(Limit.PerSecond_ >= 0) || Limit.Age_ < Duration::zero() ||
+      Limit.Age_ > MaxRateLimitAge)
+    throw std::out_of_range("rate limit of a target is out of range");
+  return Limit;
+}
+
 template <class Item> Json encodeList(const std::vector<Item> &Items) {
   Json List = Json::array();
   for (const Item &Element : Items)
@@ -111,6 +136,11 @@
                       Message.From_.str(), Services});
 }
 
+Json encodeBody(const RateLimitsMessage &Message) {
+  return Json::array({FormatVersion, static_cast<int>(MessageKind::RateLimits),
+                      Message.Forward_, encodeList(Message.Limits_)});
+}
+
 ProbeMessage decodeProbe(const Json &Body) {
   ProbeMessage Message;
   Message.From_ = decodeMember(Body.at(2));
@@ -157,6 +187,14 @@
   return Message;
 }
 
+RateLimitsMessage decodeRateLimits(const Json &Body) {
+  RateLimitsMessage Message;
+  Message.Forward_ = Body.at(2).get<bool>();
+  for (const Json &Limit : Body.at(3))
+    Message.Limits_.push_back(decodeRateLimit(Limit));
+  return Message;
+}
+
 } // namespace
 
 std::string encodeDatagram(const PeerDatagram &Message) {
@@ -182,6 +220,8 @@
       return PeerDatagram(decodeEvidence(Body));
     case MessageKind::OutcomeCounts:
       return PeerDatagram(decodeTally(Body));
+    case MessageKind::RateLimits:
+      return PeerDatagram(decodeRateLimits(Body));
     }
   } catch (const std::exception &Error) {
     return fail(ResultCode::PeerMessageMalformed, Error.what());
@@ -189,6 +229,19 @@
   return fail(ResultCode::PeerMessageMalformed, "unknown datagram kind");
 }
 
+std::vector<RateLimitsMessage>
+splitRateLimits(const std::vector<NamedRateLimit> &Limits) {
+  // A limit takes about 80 bytes.
+  constexpr std::size_t MaxLimits = 12;
+  std::vector<RateLimitsMessage> Parts;
+  for (const NamedRateLimit &Limit : Limits) {
+    if (Parts.empty() || Parts.back().Limits_.size() == MaxLimits)
+      Parts.emplace_back();
+    Parts.back().Limits_.push_back(Limit);
+  }
+  return Parts;
+}
+
 std::vector<StoreChangesMessage>
 splitStoreChanges(const StoreChangesMessage &Message) {
   // A change takes about 110 bytes, in addition to the head of the message.
--- a/src/traffic-split.cc
+++ b/src/route-split.cc
@@ -1,6 +1,6 @@
-// Smooth weighted round robin. See traffic-split.h.
+// Smooth weighted round robin. See route-split.h.
 
-#include "kumquatpitch/traffic-split.h"
+#include "kumquatpitch/route-split.h"
 
 namespace kumquatpitch {
 
@@ -24,8 +24,8 @@
   return Route.Host_ + " " + Route.Prefix_;
 }
 
-const ServiceName &TrafficSplit::choose(const VirtualRoute &Route,
-                                        RandomSource &Random) {
+const ServiceName &RouteSplit::choose(const VirtualRoute &Route,
+                                      RandomSource &Random) {
   if (Route.Shares_.size() == 1)
     return Route.Shares_.front().Service_;
   std::vector<double> &Credits = CreditsByRoute_[routeKey(Route)];
--- a/src/target-balancer-trials.cc
+++ b/src/target-balancer-trials.cc
@@ -103,7 +103,8 @@
 
 } // namespace
 
-void TargetBalancer::setAssignedHosts(std::vector<AssignedHost> Hosts) {
+void TargetBalancer::setAssignedHosts(std::vector<AssignedHost> Hosts,
+                                      TimePoint Now) {
   AssignedHosts_ = std::move(Hosts);
   std::erase_if(
       PeerOutcomes_, [&](const std::pair<const HostId, PeerOutcomes> &Entry) {
@@ -111,8 +112,18 @@
             AssignedHosts_.begin(), AssignedHosts_.end(),
             [&](const AssignedHost &Host) { return Host.Id_ == Entry.first; });
       });
+  std::vector<HostId> Ids;
+  for (const AssignedHost &Host : AssignedHosts_)
+    Ids.push_back(Host.Id_);
+  Demand_.setHosts(Ids, Now);
   for (std::pair<const TargetId, State> &Entry : States_)
-    Entry.second.Rank_ = rankOf(Entry.second.Entry_);
+    updateRank(Entry.second);
+  updateRateLimitShares(Now);
+}
+
+void TargetBalancer::updateRank(State &Target) const {
+  Target.Rank_ = rankOf(Target.Entry_);
+  Target.RateLimit_.setRank(Target.Rank_, AssignedHosts_.size());
 }
 
 /// Number of hosts that send trials to the target before this one. Hosts of the
@@ -142,6 +153,9 @@
                                         const RequestOutcomeCounts &Counts,
                                         TimePoint Now) {
   PeerOutcomes_[From] = PeerOutcomes{Counts, Now};
+  // The counts decay with a time constant of one second, so their value is also
+  // a rate.
+  Demand_.record(From, Counts.Ended_, Now);
 }
 
 /// Share of the service's recent requests that were not served. The requests of
@@ -210,6 +224,7 @@
       continue;
     ++Counted;
     if (!Target.Ejected_ || Target.OnTrial_ || !Basis.mayTry(Target) ||
+        !Target.RateLimit_.allowsAttempt(Now) ||
         Now - Target.LastResultAt_ <
             floorPause(Target, IsAtRisk) + Delay +
                 FloorTurn * std::min(Target.Rank_, MaxFloorTurns))
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -88,7 +88,8 @@
         Target.Entry_.Address_ != Entry.Address_) {
       Target = State();
       Target.KnownSince_ = Now;
-      Target.Rank_ = rankOf(Entry);
+      Target.Entry_ = Entry;
+      updateRank(Target);
     }
     Target.Entry_ = Entry;
   }
@@ -158,7 +159,7 @@
   return load(Target, Now) < Target.Entry_.Slots_ +
                                  (HasWaitingRequests_ ? MaxWaitingAtBusyTarget
                                                       : MaxWaitingAtTarget) &&
-         Now >= Target.RefusingUntil_;
+         Now >= Target.RefusingUntil_ && Target.RateLimit_.allowsAttempt(Now);
 }
 
 bool TargetBalancer::areAllEjected(TimePoint Now) const {
@@ -186,27 +187,37 @@
     Text += std::to_string(Own) + "+" +
             std::to_string(
                 std::lround(load(Target, Now) - static_cast<double>(Own)));
-    Text += Target.Entry_.Leaving_        ? "l"
-            : Target.isUnavailable(Now)   ? "g"
-            : Target.Ejected_             ? "e"
-            : Target.Failures_ > 0        ? "p"
-            : Now < Target.RefusingUntil_ ? "f"
-                                          : "";
+    Text += Target.Entry_.Leaving_                  ? "l"
+            : !Target.RateLimit_.allowsAttempt(Now) ? "r"
+            : Target.isUnavailable(Now)             ? "g"
+            : Target.Ejected_                       ? "e"
+            : Target.Failures_ > 0                  ? "p"
+            : Now < Target.RefusingUntil_           ? "f"
+                                                    : "";
     Text += Target.Entry_.Domain_ == OwnDomain_ ? "o " : " ";
   }
   return Text;
 }
 
 double TargetBalancer::completionRate(TimePoint Now) const {
-  double Slots = 0;
-  for (const std::pair<const TargetId, State> &Entry : States_) {
-    const State &Target = Entry.second;
-    if (!Target.isUnavailable(Now))
-      Slots += Target.Entry_.Slots_ / slowness(Target, Now) *
-               (Target.Ejected_ ? servedShare(Target) : 1);
-  }
+  double Sum = 0;
+  for (const std::pair<const TargetId, State> &Entry : States_)
+    if (!Entry.second.isUnavailable(Now))
+      Sum += completionRate(Entry.second, Now);
+  return Sum;
+}
+
+double TargetBalancer::completionRate(const State &Target,
+                                      TimePoint Now) const {
   constexpr double MicrosecondsPerSecond = 1e6;
-  return Slots * MicrosecondsPerSecond / MeanLatencyUs_;
+  const double BySlots = Target.Entry_.Slots_ / slowness(Target, Now) *
+                         (Target.Ejected_ ? servedShare(Target) : 1) *
+                         MicrosecondsPerSecond / MeanLatencyUs_;
+  // The hosts have equal parts of what the slots serve, but not of a limit.
+  const double ByLimit =
+      Target.RateLimit_.ownPerSecond(Now) *
+      static_cast<double>(std::max<std::size_t>(1, AssignedHosts_.size()));
+  return std::min(BySlots, ByLimit);
 }
 
 std::optional<TargetPick>
@@ -225,7 +236,8 @@
       IdleTimePerHost * std::max<std::size_t>(1, AssignedHosts_.size());
   for (std::pair<const TargetId, State> &Entry : States_) {
     State &Target = Entry.second;
-    if (Target.isUnavailable(Now) || Constraints.Tried_.count(Entry.first))
+    if (Target.isUnavailable(Now) || !Target.RateLimit_.allowsAttempt(Now) ||
+        Constraints.Tried_.count(Entry.first))
       continue;
     if ((isTrialDue(Target, Constraints, Basis, Now) ||
          &Target == FloorTrial) &&
@@ -289,6 +301,7 @@
     return;
   It->second.Running_.insert(Now);
   It->second.SentAt_ = Now;
+  It->second.RateLimit_.attemptStarted(Now);
 }
 
 AttemptEvidence
@@ -318,7 +331,12 @@
         std::max(0.0, Total - static_cast<double>(Target.Running_.size()));
     Target.PeerLoadAt_ = Now;
   }
-  Target.RateLimit_ = Report.RateLimit_.value_or(Target.RateLimit_);
+  if (Report.RateLimit_) {
+    const bool WasLimited = Target.RateLimit_.perSecond(Now) != NoRateLimit;
+    Target.RateLimit_.recordAnswer(*Report.RateLimit_, Now);
+    if (!WasLimited)
+      updateRateLimitShare(Target, Demand_.weights(OwnId_, Now), Now);
+  }
   if (Evidence == AttemptEvidence::Answered) {
     const double Latency = static_cast<double>((Now - StartedAt).count());
     MeanLatencyUs_ += (Latency - MeanLatencyUs_) * MeanLatencyWeight *
@@ -424,9 +442,51 @@
   return It != States_.end() && It->second.Ejected_;
 }
 
-double TargetBalancer::rateLimit(const TargetId &Id) const {
+double TargetBalancer::rateLimit(const TargetId &Id, TimePoint Now) const {
   const std::map<TargetId, State>::const_iterator It = States_.find(Id);
-  return It == States_.end() ? NoRateLimit : It->second.RateLimit_;
+  return It == States_.end() ? NoRateLimit
+                             : It->second.RateLimit_.perSecond(Now);
+}
+
+std::vector<NamedRateLimit> TargetBalancer::takeRateLimitNews(TimePoint Now) {
+  std::vector<NamedRateLimit> News;
+  for (std::pair<const TargetId, State> &Entry : States_) {
+    State &Target = Entry.second;
+    if (const std::optional<Duration> Age = Target.RateLimit_.takeNews(Now))
+      News.push_back(NamedRateLimit{Target.Entry_.Service_, Entry.first,
+                                    Target.Entry_.StartedUnixMs_,
+                                    Target.RateLimit_.perSecond(Now), *Age});
+  }
+  return News;
+}
+
+void TargetBalancer::recordPeerRateLimit(const NamedRateLimit &Limit,
+                                         TimePoint Now) {
+  const std::map<TargetId, State>::iterator It = States_.find(Limit.Target_);
+  if (It == States_.end() ||
+      It->second.Entry_.StartedUnixMs_ != Limit.StartedUnixMs_)
+    return;
+  TargetRateLimit &Known = It->second.RateLimit_;
+  const bool WasLimited = Known.perSecond(Now) != NoRateLimit;
+  Known.recordPeer(Limit.PerSecond_, Limit.Age_, Now);
+  if (!WasLimited)
+    updateRateLimitShare(It->second, Demand_.weights(OwnId_, Now), Now);
+}
+
+void TargetBalancer::updateRateLimitShares(TimePoint Now) {
+  Demand_.record(OwnId_, outcomeCounts(Now).Ended_, Now);
+  const std::vector<HostWeight> Weights = Demand_.weights(OwnId_, Now);
+  for (std::pair<const TargetId, State> &Entry : States_)
+    updateRateLimitShare(Entry.second, Weights, Now);
+}
+
+void TargetBalancer::updateRateLimitShare(
+    State &Target, const std::vector<HostWeight> &Weights,
+    TimePoint Now) const {
+  const double PerSecond = Target.RateLimit_.perSecond(Now);
+  if (PerSecond != NoRateLimit)
+    Target.RateLimit_.setShare(
+        shareOfRateLimit(PerSecond, Target.Entry_.Id_, OwnId_, Weights), Now);
 }
 
 std::size_t TargetBalancer::ejectedCount() const {
--- /dev/null
+++ b/src/target-rate-limit.cc
@@ -0,0 +1,138 @@
+// Shares, token bucket and news of a target's rate limit. See
+// target-rate-limit.h.
+
+#include "kumquatpitch/target-rate-limit.h"
+
+#include <algorithm>
+
+namespace kumquatpitch {
+
+namespace {
+
+/// A target that takes fewer requests is still sent this many a second: only
+/// its answers show that the limit has ended.
+constexpr double MinPerSecond = 0.1;
+/// Capacity of the bucket: this time at the host's rate, at least one request.
+constexpr double BurstSeconds = 1;
+/// Hosts without a part get no answers from the target. They are told of the
+/// limit this often, and by the next host in the order a little later.
+constexpr Duration RepeatPeriod = std::chrono::seconds(2);
+constexpr Duration RepeatTurn = std::chrono::milliseconds(250);
+/// How long the end of a limit is repeated, for hosts that missed the first
+/// datagram.
+constexpr Duration RepeatEndFor = std::chrono::seconds(6);
+/// A host without a part forgets a limit when it has had no news of it for this
+/// long, as the hosts with a part may have no requests for the target. They do
+/// so in turn: the first one that sends a request tells the others.
+constexpr Duration ForgetAfter = std::chrono::seconds(10);
+constexpr Duration ForgetTurn = std::chrono::milliseconds(500);
+/// The same for hosts that callers are not given. There may be hundreds.
+constexpr Duration ForgetAfterUnassigned = std::chrono::seconds(60);
+
+} // namespace
+
+void TargetRateLimit::setRank(std::size_t Rank, std::size_t Hosts) {
+  Rank_ = Rank;
+  Hosts_ = Hosts;
+}
+
+void TargetRateLimit::setShare(double Share, TimePoint Now) {
+  settle(Now);
+  Share_ = Share;
+}
+
+void TargetRateLimit::setLimit(double PerSecond, TimePoint NamedAt,
+                               TimePoint Now) {
+  settle(Now);
+  const bool WasLimited = perSecond(Now) != NoRateLimit;
+  if (!WasLimited)
+    Tokens_ = 0;
+  if (PerSecond != NoRateLimit)
+    EndedAt_.reset();
+  else if (WasLimited)
+    EndedAt_ = Now;
+  PerSecond_ = PerSecond;
+  NamedAt_ = NamedAt;
+}
+
+void TargetRateLimit::recordAnswer(double PerSecond, TimePoint Now) {
+  HasNews_ |= PerSecond != perSecond(Now);
+  IsNamedToSelf_ = true;
+  setLimit(PerSecond, Now, Now);
+}
+
+void TargetRateLimit::recordPeer(double PerSecond, Duration Age,
+                                 TimePoint Now) {
+  const TimePoint NamedAt = Now - Age;
+  if (NamedAt > NamedAt_) {
+    setLimit(PerSecond, NamedAt, Now);
+    IsNamedToSelf_ = false;
+  }
+  if (PerSecond == PerSecond_) {
+    HasNews_ = false;
+    ToldAt_ = Now;
+  }
+}
+
+bool TargetRateLimit::isForgotten(TimePoint Now) const {
+  if (Share_ > 0)
+    return false;
+  const Duration After =
+      Rank_ < Hosts_ ? ForgetAfter + ForgetTurn * static_cast<int>(Rank_)
+                     : ForgetAfterUnassigned;
+  return Now - NamedAt_ > After;
+}
+
+double TargetRateLimit::perSecond(TimePoint Now) const {
+  if (isForgotten(Now))
+    return NoRateLimit;
+  return PerSecond_;
+}
+
+double TargetRateLimit::ownPerSecond(TimePoint Now) const {
+  const double PerSecond = perSecond(Now);
+  return PerSecond == NoRateLimit ? NoRateLimit
+                                  : std::max(PerSecond, MinPerSecond) * Share_;
+}
+
+double TargetRateLimit::tokens(TimePoint Now) const {
+  const double Rate = ownPerSecond(Now);
+  if (Rate == NoRateLimit)
+    return 1;
+  if (Rate == 0)
+    return 0;
+  return std::min(std::max(1.0, BurstSeconds * Rate),
+                  Tokens_ + Rate * toSeconds(Now - SettledAt_));
+}
+
+void TargetRateLimit::settle(TimePoint Now) {
+  Tokens_ = tokens(Now);
+  SettledAt_ = Now;
+}
+
+bool TargetRateLimit::allowsAttempt(TimePoint Now) const {
+  return tokens(Now) >= 1;
+}
+
+void TargetRateLimit::attemptStarted(TimePoint Now) {
+  if (perSecond(Now) == NoRateLimit)
+    return;
+  settle(Now);
+  Tokens_ -= 1;
+}
+
+std::optional<Duration> TargetRateLimit::takeNews(TimePoint Now) {
+  const bool IsWorthRepeating =
+      PerSecond_ != NoRateLimit || (EndedAt_ && Now - *EndedAt_ < RepeatEndFor);
+  const Duration Period =
+      RepeatPeriod + RepeatTurn * static_cast<int>(std::min(Rank_, Hosts_));
+  const bool IsRepeatDue = IsWorthRepeating && IsNamedToSelf_ && ToldAt_ &&
+                           NamedAt_ > *ToldAt_ && Now - *ToldAt_ >= Period;
+  if (!HasNews_ && !IsRepeatDue)
+    return std::nullopt;
+  HasNews_ = false;
+  ToldAt_ = Now;
+  return Now - NamedAt_;
+}
+
+} // namespace kumquatpitch
--- a/test/gateway-core-test.cc
+++ b/test/gateway-core-test.cc
@@ -43,7 +43,8 @@
                                  ServiceShare{ServiceName("room"), 10}};
     Core_.setTable(std::make_shared<const RouteTable>(Config));
     Core_.setCallerHosts(
-        {{ServiceName("desk"), {{HostId("h1"), FailureDomain("ikeja")}}}}, 1);
+        {{ServiceName("desk"), {{HostId("h1"), FailureDomain("ikeja")}}}}, 1,
+        atMs(Now_));
     useTargets(3);
   }
 
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -575,3 +575,39 @@
   CHECK(runUntilReceived("last"));
   CHECK(Received_.find("Connection: close") != std::string::npos);
 }
+
+// Guards against a limit that is read only from some answers, and against one
+// that ends with an answer whose limit cannot be read.
+TEST(GatewayFront, ReadsTheRateLimitFromAllAnswersOfTheTarget) {
+  std::string Status;
+  std::string Extra;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    std::string Text = answer(requestIdOf(Request), "body" + Status, Status);
+    Text.insert(Text.find("\r\n") + 2, Extra);
+    sendText(Socket, Text);
+    return true;
+  });
+  const auto LimitAfter = [&](const char *NextStatus,
+                              const std::string &NextExtra) {
+    Status = NextStatus;
+    Extra = NextExtra;
+    Received_.clear();
+    // Time in which the last limit allows a request again.
+    Context_.restart();
+    Context_.run_for(std::chrono::milliseconds(50));
+    sendText(Caller_, request("/look/1", "id1"));
+    CHECK(runUntilReceived("\r\n\r\n"));
+    return Core_.balancer(ServiceName("desk"))
+        ->rateLimit(TargetId("t0"), Timers_.now());
+  };
+  const std::string Named = "Kumquatpitch-Target-Rate-Limit: 50\r\n";
+  Caller_.connect(localEndpoint(FrontPort));
+  readAnswers();
+  CHECK(LimitAfter("200 OK", "") == NoRateLimit);
+  CHECK(LimitAfter("503 Full", Named + "Kumquatpitch-Not-Run: 1\r\n") == 50);
+  CHECK(LimitAfter("200 OK", "") == NoRateLimit);
+  CHECK(LimitAfter("500 Failed", Named) == 50);
+  CHECK(LimitAfter("200 OK", "Kumquatpitch-Target-Rate-Limit: x\r\n") == 50);
+}
--- a/test/gateway-load-test.cc
+++ b/test/gateway-load-test.cc
@@ -77,7 +77,7 @@
       Hosts_.back()->setTable(Table);
       Hosts_.back()->setTargets(Entries, atMs(0));
       Hosts_.back()->setCallerHosts({{ServiceName("desk"), Assigned}},
-                                    Group.size());
+                                    Group.size(), atMs(0));
     }
   }
 
@@ -195,6 +195,8 @@
       at(StartMs + Tick, [this] { placeQueuedAtAllHosts(); });
     for (std::int64_t Tick = 0; Tick < LengthMs; Tick += 250)
       at(StartMs + Tick, [this] { exchangeCounts(); });
+    for (std::int64_t Tick = 0; Tick < LengthMs; Tick += 200)
+      at(StartMs + Tick, [this] { exchangeRateLimits(); });
     while (!Events_.empty()) {
       const std::map<std::pair<std::int64_t, std::uint64_t>,
                      std::function<void()>>::iterator Next = Events_.begin();
@@ -384,6 +386,15 @@
                                            atMs(Now_));
   }
 
+  void exchangeRateLimits() {
+    for (std::size_t From = 0; From < Hosts_.size(); ++From)
+      for (const NamedRateLimit &Limit :
+           Hosts_[From]->takeRateLimitNews(atMs(Now_)))
+        for (std::size_t To = 0; To < Hosts_.size(); ++To)
+          if (To != From)
+            Hosts_[To]->recordPeerRateLimit(Limit, atMs(Now_));
+  }
+
   void placeQueuedAt(std::size_t Host) {
     for (const std::pair<std::shared_ptr<GatewayRequest>, Placement> &Entry :
          Hosts_[Host]->placeQueuedRequests(atMs(Now_)))
--- a/test/peer-datagram-test.cc
+++ b/test/peer-datagram-test.cc
@@ -5,6 +5,8 @@
 
 #include "manual-time.h"
 
+#include <cmath>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpitch;
@@ -51,6 +53,10 @@
                                         true}),
            PeerDatagram(OutcomeCountsMessage{HostId("h"),
                                              {{ServiceName("s"), {7.5, 2}}}}),
+           PeerDatagram(RateLimitsMessage{
+               {{ServiceName("s"), TargetId("t"), 9, 3.4, ms(20)},
+                {ServiceName("s"), TargetId("u"), 9, NoRateLimit, ms(0)}},
+               true}),
        }) {
     const std::optional<PeerDatagram> Received =
         decodeOrNone(encodeDatagram(Sent));
@@ -80,6 +86,32 @@
                     .has_value());
 }
 
+// Guards against a limit that no comparison holds for, and against news that
+// counts as newer than any answer.
+TEST(PeerDatagram, ImpossibleRateLimitsAreRejected) {
+  for (const NamedRateLimit &Invalid :
+       {NamedRateLimit{ServiceName("s"), TargetId("t"), 9, -1, ms(0)},
+        NamedRateLimit{ServiceName("s"), TargetId("t"), 9, std::nan(""), ms(0)},
+        NamedRateLimit{ServiceName("s"), TargetId("t"), 9, 1, ms(-1)}})
+    CHECK_FALSE(
+        decodeOrNone(encodeDatagram(RateLimitsMessage{{Invalid}, false}))
+            .has_value());
+}
+
+TEST(PeerDatagram, ManyRateLimitsAreDividedAmongDatagrams) {
+  const std::vector<NamedRateLimit> Limits(
+      30,
+      NamedRateLimit{ServiceName("nuptial-desk"), TargetId("i-0123456789ab"),
+                     1'767'280'437'058, 1.0 / 3, ms(200'000)});
+  std::size_t Sent = 0;
+  for (const RateLimitsMessage &Part : splitRateLimits(Limits)) {
+    CHECK(encodeDatagram(Part).size() <= MaxDatagramBytes);
+    Sent += Part.Limits_.size();
+  }
+  CHECK_EQUAL(30, Sent);
+  CHECK(splitRateLimits({}).empty());
+}
+
 TEST(PeerDatagram, FullTallyFitsIntoOneDatagram) {
   OutcomeCountsMessage Full{HostId(std::string(MaxNameBytes, 'h')), {}};
   for (std::size_t Index = 0; Index < MaxOutcomeCounts; ++Index)
--- a/test/target-balancer-test.cc
+++ b/test/target-balancer-test.cc
@@ -229,7 +229,8 @@
   useTargets(20);
   Now_ += 6'000;
   Balancer_.setAssignedHosts({{HostId("h1"), FailureDomain("ikeja")},
-                              {HostId("h2"), FailureDomain("ikeja")}});
+                              {HostId("h2"), FailureDomain("ikeja")}},
+                             atMs(Now_));
   for (int Index = 0; Index < 5; ++Index)
     runAttempt(TargetId("t" + std::to_string(Index)), AttemptEvidence::Failed,
                3);
@@ -255,7 +256,7 @@
   std::vector<std::int64_t> WaitedMs;
   for (const AssignedHost &Host : Hosts) {
     TargetBalancer Balancer(Host.Id_, Host.Domain_, 0.7);
-    Balancer.setAssignedHosts(Hosts);
+    Balancer.setAssignedHosts(Hosts, atMs(Now_));
     Balancer.setTargets({target(0), target(1)}, atMs(Now_));
     Balancer.applyPeerObservation(TargetId("t0"), TargetObservation::Failed,
                                   atMs(Now_));
@@ -424,3 +425,47 @@
   Balancer_.setTargets({Restarted, target(1)}, atMs(Now_));
   CHECK_FALSE(Balancer_.isEjected(TargetId("t0")));
 }
+
+// Guards against attempts at a limited target that are not usual placements:
+// trials while it is ejected, and the last resort.
+TEST(TargetBalancer, TrialsAndLastResortKeepTheRateLimit) {
+  useTargets(1);
+  const TargetId Id("t0");
+  Balancer_.attemptStarted(Id, atMs(Now_));
+  Balancer_.attemptEnded(Id, atMs(Now_), AttemptEvidence::Failed, ms(200),
+                         TargetReport{{}, 1}, atMs(Now_));
+  int Sent = 0;
+  for (const std::int64_t Start = Now_; Now_ < Start + 20'000; Now_ += 50)
+    for (const bool IsLastResort : {false, true}) {
+      PickConstraints Constraints;
+      Constraints.IsRetryable_ = true;
+      Constraints.IsLastResort_ = IsLastResort;
+      const std::optional<TargetPick> Pick =
+          Balancer_.pick(Constraints, atMs(Now_), Random_);
+      if (!Pick)
+        continue;
+      ++Sent;
+      runAttempt(Id, AttemptEvidence::Failed, 0);
+    }
+  CHECK(Sent >= 15 && Sent <= 20);
+}
+
+// Guards against requests that wait for a target whose limit is left to other
+// hosts.
+TEST(TargetBalancer, LimitedTargetWithoutOwnPartIsNoTarget) {
+  useTargets(1);
+  Balancer_.setAssignedHosts({{HostId("h2"), FailureDomain("ikeja")}},
+                             atMs(Now_));
+  CHECK(Balancer_.hasUntriedTarget(PickConstraints(), atMs(Now_)));
+  Balancer_.recordPeerRateLimit(
+      {ServiceName("desk"), TargetId("t0"), 1, 2, ms(0)}, atMs(Now_));
+  CHECK_FALSE(Balancer_.hasUntriedTarget(PickConstraints(), atMs(Now_)));
+  CHECK_FALSE(pick(false).has_value());
+  // Another incarnation has named no limit yet.
+  TargetEntry Restarted = target(0);
+  Restarted.StartedUnixMs_ = 2;
+  Balancer_.setTargets({Restarted}, atMs(Now_));
+  Balancer_.recordPeerRateLimit(
+      {ServiceName("desk"), TargetId("t0"), 1, 2, ms(0)}, atMs(Now_));
+  CHECK(pick(false).has_value());
+}
