Log when the store comes back from an older copy

No log line showed that the store went back, so a change that hosts ignored could not be told from one that they were never told of. The store's answers name an era, which is decoded with each answer and logged with each listing and when it rises. What hosts do with a read does not change otherwise.

--- a/include/kumquatpitch/published-state.h
+++ b/include/kumquatpitch/published-state.h
@@ -47,6 +47,9 @@
 struct PublishedRead {
   ReadStatus Status_ = ReadStatus::Failed;
   std::string Detail_; ///< What failed; only for the log.
+  /// Rises each time the store comes back from an older copy and gives out
+  /// revisions again. Revisions of different eras cannot be compared.
+  std::uint64_t Era_ = 0;
   /// The result covers all changes up to this revision.
   std::uint64_t Revision_ = 0;
   std::vector<TargetChange> Targets_;
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -81,6 +81,8 @@
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
   std::uint64_t revision() const { return Revision_; }
   std::uint64_t configRevision() const { return ConfigRevision_; }
+  /// Era of the last read that named one.
+  std::uint64_t era() const { return Era_; }
   bool hasState() const { return Table_ != nullptr && Revision_ != 0; }
   /// False while entries that expired in an outage before the first listing may
   /// still be republished.
@@ -106,6 +108,7 @@
   TargetDirectory Directory_;
   std::map<TargetId, std::uint64_t> Revisions_; ///< Of the applied changes.
   std::shared_ptr<const RouteTable> Table_;
+  std::uint64_t Era_ = 0;
   std::uint64_t Revision_ = 0; ///< Complete up to here; 0 before a listing.
   std::uint64_t ConfigRevision_ = 0;
   std::uint64_t PeerConfigRevision_ = 0; ///< Newest reported by a peer.
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -375,9 +375,16 @@
                IsOk ? "regained" : "lost",
                {{"status", readStatusName(Read.Status_)},
                 {"detail", Read.Detail_},
+                {"era", std::to_string(Read.Era_)},
                 {"revision", std::to_string(Read.Revision_)},
                 {"entries", std::to_string(Read.Targets_.size())}});
   LastStoreReadSucceeded_ = IsOk;
+  if (Read.Era_ > Follower_.era() && Follower_.hasState())
+    Log_.write(LogLevel::Warning, "store", "went_back",
+               {{"era", std::to_string(Read.Era_)},
+                {"previous_era", std::to_string(Follower_.era())},
+                {"revision", std::to_string(Read.Revision_)},
+                {"previous_revision", std::to_string(Follower_.revision())}});
   apply(Follower_.readEnded(Read, Timers_.now()));
 }
 
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -69,6 +69,7 @@
   FollowResult Result;
   const ReadRequest Request = InProgress_.value_or(ReadRequest{});
   InProgress_.reset();
+  Era_ = std::max(Era_, Read.Era_);
   if (Read.Status_ != ReadStatus::Ok) {
     recordFailure(Read, Now);
     return Result;
--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -172,3 +172,21 @@
   Call.Target_ = "/other";
   CHECK_FALSE(Adapter_.parseAddressQuery(Call).has_value());
 }
+
+// Guards against an era that is taken as 0, after which revisions of two eras
+// would be compared.
+TEST(StoreDecoder, EraOfAnAnswerIsDecoded) {
+  const auto Decoded = [](int Status, const char *Era) {
+    PublishedRead Read;
+    const std::string Text = Era ? Era : "";
+    decodeHead(Status, Era ? &Text : nullptr, Read);
+    return Read;
+  };
+  CHECK_EQUAL(3, Decoded(200, "3").Era_);
+  CHECK_EQUAL(3, Decoded(410, "3").Era_);
+  CHECK(Decoded(410, "3").Status_ == ReadStatus::HistoryGone);
+  CHECK_EQUAL(0, Decoded(200, nullptr).Era_);
+  CHECK(Decoded(200, nullptr).Status_ == ReadStatus::Ok);
+  for (const char *Malformed : {"", "x", "-1", "3x"})
+    CHECK(Decoded(200, Malformed).Status_ == ReadStatus::Failed);
+}
