Compare the store's revisions only within one era

Cause: hosts compared revisions from before and after the copy. The store gives out revisions again, so version 11 had revision 41, as version 9 had before. The readers told the other hosts of revision 41, which these already had.

All revisions of a host belong to the era of the store now. When an answer or a peer names a later one, the host lists the store again and keeps what it has in use until then; changes read after a revision of the earlier era are discarded, since they need not be all. Messages between hosts carry the era: an earlier one is ignored, a later one causes a listing. The store itself overrules an era that only a peer has named. The reader that finds a new era tells the others at once.

Entries of targets that the copy brings back are another fault; its tests stay red.

--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -24,6 +24,7 @@
   std::uint64_t Revision_ = 0; ///< and are complete up to this one.
   std::uint64_t ConfigRevision_ = 0;
   std::vector<TargetChange> Targets_;
+  std::uint64_t Era_ = 0; ///< Of all revisions in the message.
 
   bool operator==(const StoreChangesMessage &) const = default;
 };
@@ -37,8 +38,17 @@
   bool operator==(const ReadRequest &) const = default;
 };
 
+/// The store came back from an older copy.
+struct EraChange {
+  std::uint64_t PreviousEra_ = 0;
+  std::uint64_t PreviousRevision_ = 0;
+
+  bool operator==(const EraChange &) const = default;
+};
+
 /// The effects of a read or a message.
 struct FollowResult {
+  std::optional<EraChange> EraChange_;
   bool TargetsChanged_ = false;
   std::shared_ptr<const RouteTable> NewTable_;   ///< Null when unchanged.
   std::optional<StoreChangesMessage> ToForward_; ///< To the own failure domain.
@@ -81,7 +91,7 @@
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
   std::uint64_t revision() const { return Revision_; }
   std::uint64_t configRevision() const { return ConfigRevision_; }
-  /// Era of the last read that named one.
+  /// Era of the store that the revisions belong to.
   std::uint64_t era() const { return Era_; }
   bool hasState() const { return Table_ != nullptr && Revision_ != 0; }
   /// False while entries that expired in an outage before the first listing may
@@ -99,6 +109,9 @@
   /// and sets `IsRoutingChanged` when one affects routing on this host.
   std::vector<TargetChange> apply(const std::vector<TargetChange> &Changes,
                                   TimePoint Now, bool &IsRoutingChanged);
+  /// Follows the store to another era. Its revisions cannot be compared with
+  /// the known ones, so all state is read again; until then it stays in use.
+  void enterEra(std::uint64_t Era, TimePoint Now, FollowResult &Result);
   void recordStoreAnswer(TimePoint Now);
   void applyAll(const PublishedRead &Read, TimePoint Now, FollowResult &Result);
   void applyConfig(const PublishedConfig &Config, FollowResult &Result);
@@ -108,15 +121,17 @@
   TargetDirectory Directory_;
   std::map<TargetId, std::uint64_t> Revisions_; ///< Of the applied changes.
   std::shared_ptr<const RouteTable> Table_;
-  std::uint64_t Era_ = 0;
+  std::uint64_t Era_ = 0;      ///< Of all revisions below.
   std::uint64_t Revision_ = 0; ///< Complete up to here; 0 before a listing.
   std::uint64_t ConfigRevision_ = 0;
   std::uint64_t PeerConfigRevision_ = 0; ///< Newest reported by a peer.
   /// Value of PeerConfigRevision_ for which a stale copy was last read.
   std::uint64_t StaleCopyReadFor_ = 0;
   std::optional<ReadRequest> InProgress_;
+  std::uint64_t InProgressEra_ = 0; ///< Era_ when the read began.
   bool NeedsListing_ = true;
-  bool HasGap_ = false; ///< Changes before a peer's message were missed.
+  bool TellsEra_ = false; ///< The next listing is the first of its era.
+  bool HasGap_ = false;   ///< Changes before a peer's message were missed.
   std::optional<TimePoint> FreshAt_;
   std::optional<TimePoint> FailingSince_;
   std::optional<TimePoint> SettledAt_; ///< After a start during an outage.
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -379,17 +379,18 @@
                 {"revision", std::to_string(Read.Revision_)},
                 {"entries", std::to_string(Read.Targets_.size())}});
   LastStoreReadSucceeded_ = IsOk;
-  if (Read.Era_ > Follower_.era() && Follower_.hasState())
-    Log_.write(LogLevel::Warning, "store", "went_back",
-               {{"era", std::to_string(Read.Era_)},
-                {"previous_era", std::to_string(Follower_.era())},
-                {"revision", std::to_string(Read.Revision_)},
-                {"previous_revision", std::to_string(Follower_.revision())}});
   apply(Follower_.readEnded(Read, Timers_.now()));
 }
 
 void GatewayDaemon::apply(const FollowResult &Result) {
   const TimePoint Now = Timers_.now();
+  if (Result.EraChange_)
+    Log_.write(
+        LogLevel::Warning, "store", "went_back",
+        {{"era", std::to_string(Follower_.era())},
+         {"previous_era", std::to_string(Result.EraChange_->PreviousEra_)},
+         {"previous_revision",
+          std::to_string(Result.EraChange_->PreviousRevision_)}});
   if (Result.NewTable_) {
     Core_.setTable(Result.NewTable_);
     updateCallerHosts();
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -115,7 +115,8 @@
 Json encodeBody(const StoreChangesMessage &Message) {
   return Json::array({FormatVersion, static_cast<int>(MessageKind::Progress),
                       Message.From_.str(), Message.After_, Message.Revision_,
-                      Message.ConfigRevision_, encodeList(Message.Targets_)});
+                      Message.ConfigRevision_, encodeList(Message.Targets_),
+                      Message.Era_});
 }
 
 Json encodeBody(const EvidenceMessage &Message) {
@@ -160,6 +161,10 @@
   Message.ConfigRevision_ = Body.at(5).get<std::uint64_t>();
   for (const Json &Change : Body.at(6))
     Message.Targets_.push_back(decodeChange(Change));
+  // Hosts of earlier releases send no era.
+  constexpr std::size_t EraIndex = 7;
+  if (Body.size() > EraIndex)
+    Message.Era_ = Body.at(EraIndex).get<std::uint64_t>();
   return Message;
 }
 
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -39,6 +39,7 @@
     StaleCopyReadFor_ = PeerConfigRevision_;
     InProgress_ = ReadRequest{ReadRequest::Kind::Config, 0, AllowStale};
   }
+  InProgressEra_ = Era_;
   return InProgress_;
 }
 
@@ -56,6 +57,22 @@
   BackoffUntil_ = Now + Backoff;
 }
 
+void StoreFollower::enterEra(std::uint64_t Era, TimePoint Now,
+                             FollowResult &Result) {
+  if (Revision_ != 0) {
+    Result.EraChange_ = EraChange{Era_, Revision_};
+    NeedsListing_ = true;
+    // Targets write again what the copy does not have.
+    Directory_.storeRecovered(Now);
+  }
+  Era_ = Era;
+  ConfigRevision_ = 0;
+  PeerConfigRevision_ = 0;
+  StaleCopyReadFor_ = 0;
+  ConsecutiveFailures_ = 0;
+  BackoffUntil_ = Now;
+}
+
 void StoreFollower::recordStoreAnswer(TimePoint Now) {
   if (FailingSince_ && Revision_ == 0)
     SettledAt_ = Now + TargetDirectory::RepublishGracePeriod;
@@ -69,8 +86,16 @@
   FollowResult Result;
   const ReadRequest Request = InProgress_.value_or(ReadRequest{});
   InProgress_.reset();
-  Era_ = std::max(Era_, Read.Era_);
-  if (Read.Status_ != ReadStatus::Ok) {
+  // A later era than the store's is a false report of a peer. An older one than
+  // was known when the read began comes from an old copy for stale reads.
+  const bool IsStoreOlder = Read.Status_ == ReadStatus::Ok &&
+                            Read.Era_ < Era_ && InProgressEra_ == Era_ &&
+                            !Request.AllowStale_;
+  if (Read.Era_ > Era_ || IsStoreOlder) {
+    TellsEra_ = Revision_ != 0;
+    enterEra(Read.Era_, Now, Result);
+  }
+  if (Read.Status_ != ReadStatus::Ok || Read.Era_ < Era_) {
     recordFailure(Read, Now);
     return Result;
   }
@@ -80,17 +105,26 @@
     applyConfig(*Read.Config_, Result);
   if (Request.Kind_ == ReadRequest::Kind::Config)
     return Result;
-  FreshAt_ = Now;
-  HasGap_ = false;
   if (Request.Kind_ == ReadRequest::Kind::All) {
+    FreshAt_ = Now;
+    HasGap_ = false;
     applyAll(Read, Now, Result);
     return Result;
   }
+  // Changes after a revision of another era are not all that has changed.
+  if (NeedsListing_)
+    return Result;
+  FreshAt_ = Now;
+  HasGap_ = false;
   std::vector<TargetChange> Changed =
       apply(Read.Targets_, Now, Result.TargetsChanged_);
-  Result.ToForward_ = StoreChangesMessage{
-      Self_, Request.After_, std::max(Request.After_, Read.Revision_),
-      ConfigRevision_, std::move(Changed)};
+  Result.ToForward_ =
+      StoreChangesMessage{Self_,
+                          Request.After_,
+                          std::max(Request.After_, Read.Revision_),
+                          ConfigRevision_,
+                          std::move(Changed),
+                          Era_};
   Revision_ = std::max(Revision_, Read.Revision_);
   return Result;
 }
@@ -107,6 +141,10 @@
   Result.TargetsChanged_ = Directory_.replaceAll(Entries, Now);
   Revision_ = Read.Revision_;
   NeedsListing_ = false;
+  if (TellsEra_)
+    Result.ToForward_ = StoreChangesMessage{
+        Self_, Revision_, Revision_, ConfigRevision_, {}, Era_};
+  TellsEra_ = false;
 }
 
 void StoreFollower::applyConfig(const PublishedConfig &Config,
@@ -144,6 +182,10 @@
 FollowResult StoreFollower::receive(const StoreChangesMessage &Message,
                                     TimePoint Now) {
   FollowResult Result;
+  if (Message.Era_ < Era_)
+    return Result;
+  if (Message.Era_ > Era_)
+    enterEra(Message.Era_, Now, Result);
   PeerConfigRevision_ = std::max(PeerConfigRevision_, Message.ConfigRevision_);
   if (NeedsListing_)
     return Result;
--- a/test/peer-datagram-test.cc
+++ b/test/peer-datagram-test.cc
@@ -33,6 +33,7 @@
     Entry.ColdFor_ = ms(2'500);
     Message.Targets_.push_back(TargetChange{Entry.Id_, 101 + Index, Entry});
   }
+  Message.Era_ = 3;
   return Message;
 }
 
@@ -130,6 +131,7 @@
   for (const StoreChangesMessage &Part : Parts) {
     CHECK(encodeDatagram(Part).size() <= MaxDatagramBytes);
     CHECK_EQUAL(After, Part.After_);
+    CHECK_EQUAL(Whole.Era_, Part.Era_);
     After = Part.Revision_;
     Changes += Part.Targets_.size();
   }
--- a/test/store-follower-test.cc
+++ b/test/store-follower-test.cc
@@ -237,3 +237,82 @@
   listAll(0);
   CHECK(Follower_.isSettled(atMs(0)));
 }
+
+// Guards against changes that are missed because the store has given out the
+// revision after which a host asks again, so that it does not say that its
+// history is gone.
+TEST(StoreFollower, ChangesOfALaterEraCauseAListing) {
+  listAll(0);
+  CHECK(Follower_.due(0, atMs(800))->Kind_ == ReadRequest::Kind::Changes);
+  PublishedRead Changes = read(12, {change("c", 12)});
+  Changes.Era_ = 2;
+  const FollowResult Result = Follower_.readEnded(Changes, atMs(810));
+  CHECK(Result.EraChange_ == (EraChange{0, 10}));
+  CHECK_FALSE(Result.ToForward_.has_value());
+  CHECK(Follower_.due(9, atMs(811))->Kind_ == ReadRequest::Kind::All);
+  PublishedRead All = read(12, {change("b", 11), change("c", 12)});
+  All.Era_ = 2;
+  All.Config_ = PublishedConfig{3, table(6)};
+  const FollowResult Listed = Follower_.readEnded(All, atMs(820));
+  CHECK_EQUAL(12, Follower_.revision());
+  CHECK_EQUAL(2, Follower_.directory().entries().count(TargetId("b")) +
+                     Follower_.directory().entries().count(TargetId("c")));
+  // The other hosts are told at once. The configuration in force stays.
+  CHECK(Listed.ToForward_ ==
+        (StoreChangesMessage{HostId("h1"), 12, 12, 3, {}, 2}));
+  CHECK_EQUAL(7, Follower_.table()->config().Version_);
+}
+
+// Guards against each host waiting for an answer of its own before it learns
+// that the store went back, and against one that reads changes after a revision
+// of the earlier era.
+TEST(StoreFollower, MessageOfALaterEraCausesAListing) {
+  listAll(0);
+  const FollowResult Result = Follower_.receive(
+      StoreChangesMessage{HostId("h0"), 8, 9, 9, {change("a", 9, true)}, 1},
+      atMs(100));
+  CHECK(Result.EraChange_.has_value());
+  CHECK_FALSE(Result.TargetsChanged_);
+  CHECK(Follower_.due(9, atMs(101))->Kind_ == ReadRequest::Kind::All);
+}
+
+TEST(StoreFollower, MessageOfAnEarlierEraIsIgnored) {
+  Follower_.due(0, atMs(0));
+  PublishedRead All = read(10, {change("a", 5)});
+  All.Era_ = 2;
+  All.Config_ = PublishedConfig{4, table(7)};
+  Follower_.readEnded(All, atMs(0));
+  Follower_.receive(
+      StoreChangesMessage{HostId("h0"), 10, 99, 98, {change("a", 99, true)}, 1},
+      atMs(100));
+  CHECK_EQUAL(10, Follower_.revision());
+  CHECK_FALSE(Follower_.directory().entries().at(TargetId("a")).Leaving_);
+  CHECK_FALSE(Follower_.due(3, atMs(200)).has_value());
+}
+
+// Guards against a read that began before the store went back and ends after a
+// peer has told of the new era.
+TEST(StoreFollower, AnswerOfAnEarlierEraIsDiscarded) {
+  listAll(0);
+  Follower_.due(0, atMs(800));
+  Follower_.receive(StoreChangesMessage{HostId("h0"), 3, 3, 2, {}, 1},
+                    atMs(805));
+  const FollowResult Result =
+      Follower_.readEnded(read(12, {change("a", 12, true)}), atMs(810));
+  CHECK_FALSE(Result.TargetsChanged_);
+  CHECK_FALSE(Result.ToForward_.has_value());
+}
+
+// Guards against a host that rejects all answers of the store for good, because
+// a peer reported an era that the store does not have.
+TEST(StoreFollower, StoreOverrulesAnEraThatAPeerReported) {
+  listAll(0);
+  Follower_.receive(StoreChangesMessage{HostId("h0"), 10, 10, 4, {}, 900},
+                    atMs(100));
+  CHECK(Follower_.due(0, atMs(101))->Kind_ == ReadRequest::Kind::All);
+  PublishedRead All = read(11, {change("a", 11, true), change("b", 6)});
+  All.Config_ = PublishedConfig{4, table(7)};
+  CHECK(Follower_.readEnded(All, atMs(105)).TargetsChanged_);
+  CHECK_EQUAL(0, Follower_.era());
+  CHECK_EQUAL(11, Follower_.revision());
+}
