Forward changes of the store that a peer has told of before

What could happen: a target that drains, or an entry that comes back, stays unknown to one host until its next listing.

Cause: a host that reads the store forwards only changes that are new to it, and says that its message is complete for the revisions that it read. When another reader's message has told it of a change shortly before, it leaves that change out. A host to which the first message was lost takes the second one as complete.

Ruled out: a gap that is not noticed; the revisions of the second message follow on those that the host has.

Changes that this host knows from a message with the same revision are forwarded too. StoreFollower.ForwardsChangesThatAPeerHasToldBefore failed before. Changes are only sent twice when two hosts of a failure domain read the same revisions.

--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -164,8 +164,14 @@
   std::vector<TargetChange> Effective;
   for (const TargetChange &Change : Changes) {
     std::uint64_t &AppliedRevision = Revisions_[Change.Id_];
-    if (Change.Revision_ <= AppliedRevision)
+    if (Change.Revision_ < AppliedRevision)
       continue;
+    // A peer told of it. Other hosts may have missed that message, and this
+    // host's will say that it is complete.
+    if (Change.Revision_ == AppliedRevision) {
+      Effective.push_back(Change);
+      continue;
+    }
     AppliedRevision = Change.Revision_;
     // Hosts that did not keep a missing entry have to learn that it is
     // published again.
--- a/test/store-follower-test.cc
+++ b/test/store-follower-test.cc
@@ -316,3 +316,18 @@
   CHECK_EQUAL(0, Follower_.era());
   CHECK_EQUAL(11, Follower_.revision());
 }
+
+// Guards against a change that a host misses for good: the datagram with it is
+// lost, and another host, which got it, reports the same revisions as complete
+// without it.
+TEST(StoreFollower, ForwardsChangesThatAPeerHasToldBefore) {
+  listAll(0);
+  CHECK(Follower_.due(0, atMs(800))->Kind_ == ReadRequest::Kind::Changes);
+  const TargetChange Drains = change("a", 11, true);
+  Follower_.receive(StoreChangesMessage{HostId("h0"), 10, 11, 4, {Drains}},
+                    atMs(805));
+  const FollowResult Result =
+      Follower_.readEnded(read(11, {Drains}), atMs(810));
+  CHECK(Result.ToForward_ ==
+        (StoreChangesMessage{HostId("h1"), 10, 11, 4, {Drains}}));
+}
