Hold back entries of targets that a restored store lists again

What callers could see: after the store came back from a copy, a target that drains or has left is in use again on all hosts, until its lease lapses 4.5 s later or it writes again. Live targets that the copy lacks could be dropped while the change that brings them back was on its way.

Cause: a listing was taken as newer than all that a host knows. After a restore it is older, until the targets have written their entries again.

Ruled out: a wait for all targets before a listing counts. A target that has crashed never writes again, and its entry has to lapse.

For 5 s after a restore (three heartbeats and a margin), listed entries that are older than what the host knows are held back: of an earlier incarnation, or ready while the target drains or has left. A write of the target, or an entry that outlives its lease, ends the hold. Missing entries are dropped, and held ones used, only once the state is known to be current up to the end of their time: a change may still be on its way.

--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -83,9 +83,12 @@
   /// Applies changes that another host has read.
   FollowResult receive(const StoreChangesMessage &Message, TimePoint Now);
 
-  /// Drops entries that were not republished after an outage. Returns whether
-  /// any was dropped.
-  bool expire(TimePoint Now) { return Directory_.expire(Now); }
+  /// Drops entries that were not republished after an outage, and uses those
+  /// that a restored store still lists. Returns whether routing is affected.
+  bool expire(TimePoint Now) {
+    return FreshAt_ && !NeedsListing_ && !HasGap_ &&
+           Directory_.expire(*FreshAt_, Now);
+  }
 
   const TargetDirectory &directory() const { return Directory_; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
--- a/include/kumquatpitch/target-directory.h
+++ b/include/kumquatpitch/target-directory.h
@@ -44,7 +44,16 @@
   static constexpr Duration RepublishGracePeriod =
       std::chrono::milliseconds(2'200);
 
-  /// Adds or updates an entry. Returns whether routing is affected.
+  /// How long entries that a restored store lists are held back when they are
+  /// older than what is known. A live target writes its entry again within a
+  /// heartbeat, and the entry of any other one lapses after three of them.
+  static constexpr Duration RestoredEntryHold =
+      std::chrono::milliseconds(5'000);
+  /// How long a target that has left is remembered for this purpose.
+  static constexpr Duration DepartureMemory = std::chrono::seconds(120);
+
+  /// Adds or updates an entry that its target wrote. Returns whether routing is
+  /// affected.
   bool put(const TargetEntry &Entry, TimePoint Now);
 
   /// Removes an entry. Within RepublishGracePeriod after an outage, an entry
@@ -52,7 +61,9 @@
   /// it is put again. Returns whether routing is affected.
   bool remove(const TargetId &Id, TimePoint Now);
 
-  /// Applies a complete listing. Returns whether routing is affected.
+  /// Applies a complete listing. For RestoredEntryHold after a restore, entries
+  /// that are older than what is known are held back until their target writes
+  /// them again or that time ends. Returns whether routing is affected.
   bool replaceAll(const std::vector<TargetEntry> &Entries, TimePoint Now);
 
   /// Records that the store answers again after an outage.
@@ -60,9 +71,20 @@
     GracePeriodEnd_ = Now + RepublishGracePeriod;
   }
 
-  /// Drops missing entries whose grace period has ended. Returns whether any
-  /// was dropped.
-  bool expire(TimePoint Now);
+  /// Records that the store came back from an older copy.
+  void storeRestored(TimePoint Now) {
+    storeRecovered(Now);
+    HoldEnd_ = Now + RestoredEntryHold;
+  }
+
+  /// Drops missing entries whose grace period had ended at `CurrentAt`, and
+  /// adds those whose hold had. `CurrentAt` is the time up to which all changes
+  /// of the store are known: one that is still on its way may have published an
+  /// entry again, or removed it. Returns whether routing is affected.
+  bool expire(TimePoint CurrentAt, TimePoint Now);
+
+  /// Number of listed entries that are held back.
+  std::size_t heldBack() const { return HeldBack_.size(); }
 
   /// True for an entry that is kept although it is missing in the store.
   bool isMissing(const TargetId &Id) const { return Missing_.count(Id) != 0; }
@@ -70,7 +92,21 @@
   const std::map<TargetId, TargetEntry> &entries() const { return Entries_; }
 
 private:
+  struct Departure {
+    std::uint64_t StartedUnixMs_ = 0;
+    TimePoint At_;
+  };
+
+  bool add(const TargetEntry &Entry);
+  void drop(std::map<TargetId, TargetEntry>::iterator It, TimePoint Now);
+  bool isOlderThanKnown(const TargetEntry &Entry) const;
+
   std::map<TargetId, TargetEntry> Entries_;
+  /// Targets that have left in the last DepartureMemory.
+  std::map<TargetId, Departure> Departures_;
+  /// Listed entries that are not in use; until HoldEnd_.
+  std::map<TargetId, TargetEntry> HeldBack_;
+  TimePoint HoldEnd_{};
   /// When to drop entries that are missing in the store; a subset of Entries_.
   std::map<TargetId, TimePoint> Missing_;
   TimePoint GracePeriodEnd_{}; ///< End of the grace period after an outage.
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -408,7 +408,8 @@
     Log_.write(
         LogLevel::Info, "targets", "changed",
         {{"revision", std::to_string(Follower_.revision())},
-         {"targets", std::to_string(Follower_.directory().entries().size())}});
+         {"targets", std::to_string(Follower_.directory().entries().size())},
+         {"held_back", std::to_string(Follower_.directory().heldBack())}});
   }
   if (Result.ToForward_)
     sendChangesToOwnDomain(*Result.ToForward_);
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -63,7 +63,7 @@
     Result.EraChange_ = EraChange{Era_, Revision_};
     NeedsListing_ = true;
     // Targets write again what the copy does not have.
-    Directory_.storeRecovered(Now);
+    Directory_.storeRestored(Now);
   }
   Era_ = Era;
   ConfigRevision_ = 0;
--- a/src/target-directory.cc
+++ b/src/target-directory.cc
@@ -3,12 +3,19 @@
 #include "kumquatpitch/target-directory.h"
 
 #include <set>
+#include <utility>
 
 namespace kumquatpitch {
 
 bool TargetDirectory::put(const TargetEntry &Entry, TimePoint Now) {
   static_cast<void>(Now);
+  HeldBack_.erase(Entry.Id_);
+  return add(Entry);
+}
+
+bool TargetDirectory::add(const TargetEntry &Entry) {
   Missing_.erase(Entry.Id_);
+  Departures_.erase(Entry.Id_);
   const std::map<TargetId, TargetEntry>::iterator It = Entries_.find(Entry.Id_);
   if (It == Entries_.end()) {
     Entries_.emplace(Entry.Id_, Entry);
@@ -19,7 +26,14 @@
   return Changed;
 }
 
+void TargetDirectory::drop(std::map<TargetId, TargetEntry>::iterator It,
+                           TimePoint Now) {
+  Departures_[It->first] = Departure{It->second.StartedUnixMs_, Now};
+  Entries_.erase(It);
+}
+
 bool TargetDirectory::remove(const TargetId &Id, TimePoint Now) {
+  HeldBack_.erase(Id);
   const std::map<TargetId, TargetEntry>::iterator It = Entries_.find(Id);
   if (It == Entries_.end())
     return false;
@@ -28,17 +42,36 @@
     return false;
   }
   Missing_.erase(Id);
-  Entries_.erase(It);
+  drop(It, Now);
   return true;
 }
 
+/// True for an entry of an earlier incarnation than the known one, and for one
+/// that is ready although its target drains or has left.
+bool TargetDirectory::isOlderThanKnown(const TargetEntry &Entry) const {
+  const std::map<TargetId, TargetEntry>::const_iterator Known =
+      Entries_.find(Entry.Id_);
+  if (Known != Entries_.end())
+    return Entry.StartedUnixMs_ < Known->second.StartedUnixMs_ ||
+           (Entry.StartedUnixMs_ == Known->second.StartedUnixMs_ &&
+            Known->second.Leaving_ && !Entry.Leaving_);
+  const std::map<TargetId, Departure>::const_iterator Left =
+      Departures_.find(Entry.Id_);
+  return Left != Departures_.end() &&
+         Entry.StartedUnixMs_ <= Left->second.StartedUnixMs_;
+}
+
 bool TargetDirectory::replaceAll(const std::vector<TargetEntry> &Entries,
                                  TimePoint Now) {
   bool Changed = false;
   std::set<TargetId> Listed;
+  HeldBack_.clear();
   for (const TargetEntry &Entry : Entries) {
     Listed.insert(Entry.Id_);
-    Changed |= put(Entry, Now);
+    if (Now < HoldEnd_ && isOlderThanKnown(Entry))
+      HeldBack_.emplace(Entry.Id_, Entry);
+    else
+      Changed |= add(Entry);
   }
   std::vector<TargetId> Unlisted;
   for (const std::pair<const TargetId, TargetEntry> &Entry : Entries_)
@@ -49,18 +82,26 @@
   return Changed;
 }
 
-bool TargetDirectory::expire(TimePoint Now) {
+bool TargetDirectory::expire(TimePoint CurrentAt, TimePoint Now) {
   bool Changed = false;
   for (std::map<TargetId, TimePoint>::iterator It = Missing_.begin();
        It != Missing_.end();) {
-    if (Now < It->second) {
+    if (CurrentAt < It->second) {
       ++It;
       continue;
     }
-    Entries_.erase(It->first);
+    drop(Entries_.find(It->first), Now);
     It = Missing_.erase(It);
     Changed = true;
   }
+  if (CurrentAt >= HoldEnd_)
+    for (const std::pair<const TargetId, TargetEntry> &Held :
+         std::exchange(HeldBack_, {}))
+      Changed |= add(Held.second);
+  std::erase_if(Departures_,
+                [&](const std::pair<const TargetId, Departure> &Left) {
+                  return Now - Left.second.At_ > DepartureMemory;
+                });
   return Changed;
 }
 
