Log limits that other hosts tell, and lead from a refusal to them

A refused request names how many targets' limits leave this host no request, and a limit that another host told is logged with its age and sender.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -196,8 +196,9 @@
   /// Rate limits of targets of which the other hosts should be told now.
   std::vector<NamedRateLimit> takeRateLimitNews(TimePoint Now);
 
-  /// Records a rate limit that a target named to another host.
-  void recordPeerRateLimit(const NamedRateLimit &Limit, TimePoint Now);
+  /// Records a rate limit that a target named to another host. Returns whether
+  /// that changes the limit that is in force here.
+  bool recordPeerRateLimit(const NamedRateLimit &Limit, TimePoint Now);
 
   /// Records what another host reported about a target.
   void applyPeerObservation(const ServiceName &Name, const TargetId &Id,
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -133,8 +133,9 @@
   /// Rate limits of which the other hosts should be told now.
   std::vector<NamedRateLimit> takeRateLimitNews(TimePoint Now);
 
-  /// Records a rate limit that a target named to another host.
-  void recordPeerRateLimit(const NamedRateLimit &Limit, TimePoint Now);
+  /// Records a rate limit that a target named to another host. Returns whether
+  /// that changes the limit that is in force here.
+  bool recordPeerRateLimit(const NamedRateLimit &Limit, TimePoint Now);
 
   /// Sets whether requests are waiting for room. While they are, trials come
   /// sooner and ejected targets that serve part of their requests are used.
@@ -180,6 +181,9 @@
   std::size_t size() const { return States_.size(); }
   std::size_t ejectedCount() const;
 
+  /// Number of targets whose rate limit allows no request of this host now.
+  std::size_t limitedCount(TimePoint Now) const;
+
   /// Expected time until the first target has a free slot.
   Duration expectedTimeToFreeSlot(TimePoint Now) const;
 
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -583,12 +583,12 @@
   return News;
 }
 
-void GatewayCore::recordPeerRateLimit(const NamedRateLimit &Limit,
+bool GatewayCore::recordPeerRateLimit(const NamedRateLimit &Limit,
                                       TimePoint Now) {
   const std::map<ServiceName, ServiceState>::iterator It =
       Services_.find(Limit.Service_);
-  if (It != Services_.end())
-    It->second.Balancer_.recordPeerRateLimit(Limit, Now);
+  return It != Services_.end() &&
+         It->second.Balancer_.recordPeerRateLimit(Limit, Now);
 }
 
 void GatewayCore::applyPeerObservation(const ServiceName &Name,
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -314,7 +314,13 @@
   } else if (const RateLimitsMessage *Limits =
                  std::get_if<RateLimitsMessage>(&*Datagram)) {
     for (const NamedRateLimit &Limit : Limits->Limits_)
-      Core_.recordPeerRateLimit(Limit, Now);
+      if (Core_.recordPeerRateLimit(Limit, Now))
+        Log_.write(LogLevel::Info, "target", "limit_told",
+                   {{"service", Limit.Service_.str()},
+                    {"target", Limit.Target_.str()},
+                    {"limit", formatRateLimit(Limit.PerSecond_)},
+                    {"age_ms", std::to_string(toMilliseconds(Limit.Age_))},
+                    {"sender", SenderAddress}});
     if (Limits->Forward_)
       Peers_.sendToOwnDomain(RateLimitsMessage{Limits->Limits_, false});
   }
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -287,6 +287,13 @@
                    : NoRateLimit;
   }
 
+  /// Targets of the request's service whose limit leaves this host no request.
+  std::size_t limitedTargets() const {
+    const TargetBalancer *Targets =
+        Request_ ? Dependencies_.Core_.balancer(Request_->Service_) : nullptr;
+    return Targets ? Targets->limitedCount(Dependencies_.Timers_.now()) : 0;
+  }
+
   /// Logs a limit that differs from the one that the target named before.
   void logRateLimit(const GatewayAttempt &Attempt,
                     const TargetReport &Report) const {
@@ -391,6 +398,7 @@
                        ? Dependencies_.Core_.describeQueue(
                              Request_->Service_, Dependencies_.Timers_.now())
                        : "none"},
+         {"limited", std::to_string(limitedTargets())},
          {"ms", std::to_string(
                     toMilliseconds(Dependencies_.Timers_.now() - ArrivedAt_))},
          {"deadline_ms", Head.TimeLeft_
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -460,17 +460,18 @@
   return News;
 }
 
-void TargetBalancer::recordPeerRateLimit(const NamedRateLimit &Limit,
+bool TargetBalancer::recordPeerRateLimit(const NamedRateLimit &Limit,
                                          TimePoint Now) {
   const std::map<TargetId, State>::iterator It = States_.find(Limit.Target_);
   if (It == States_.end() ||
       It->second.Entry_.StartedUnixMs_ != Limit.StartedUnixMs_)
-    return;
+    return false;
   TargetRateLimit &Known = It->second.RateLimit_;
-  const bool WasLimited = Known.perSecond(Now) != NoRateLimit;
+  const double Before = Known.perSecond(Now);
   Known.recordPeer(Limit.PerSecond_, Limit.Age_, Now);
-  if (!WasLimited)
+  if (Before == NoRateLimit)
     updateRateLimitShare(It->second, Demand_.weights(OwnId_, Now), Now);
+  return Known.perSecond(Now) != Before;
 }
 
 void TargetBalancer::updateRateLimitShares(TimePoint Now) {
@@ -497,6 +498,14 @@
                     }));
 }
 
+std::size_t TargetBalancer::limitedCount(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(States_.begin(), States_.end(),
+                    [&](const std::pair<const TargetId, State> &Entry) {
+                      return !Entry.second.RateLimit_.allowsAttempt(Now);
+                    }));
+}
+
 Duration TargetBalancer::expectedTimeToFreeSlot(TimePoint Now) const {
   std::optional<double> ShortestTime;
   for (const std::pair<const TargetId, State> &Entry : States_)
