Soak: targets that name a limit, and a store that comes back from a copy

Both run beside the other faults, with random numbers of their own, so that the earlier seeds keep their order of faults. The limit is checked for each host that had it in an answer and was not disturbed.

--- a/test/gateway-soak.cc
+++ b/test/gateway-soak.cc
@@ -69,7 +69,8 @@
 struct TargetEntry {
   std::unique_ptr<SoakTarget> Server_;
   std::unique_ptr<SoakProxy> Proxy_;
-  std::string Address_; ///< Published address, which is the proxy's.
+  std::string Address_;   ///< Published address, which is the proxy's.
+  std::string Published_; ///< Its entry as it wants it; empty for none.
   bool IsPublished_ = false;
   SoakClock::time_point WithdrawnAt_{}; ///< When it was withdrawn.
 };
@@ -78,7 +79,7 @@
 public:
   Soak(std::string Binary, std::uint64_t Seed, double DurationS, int Hosts)
       : Binary_(std::move(Binary)), Seed_(Seed), DurationS_(DurationS),
-        Random_(Seed),
+        Random_(Seed), PlatformRandom_(~Seed),
         NetworkPrefix_("127." + std::to_string(10 + getpid() % 200) + "."),
         Store_(Context_), StoreServer_(Context_, Store_), Client_(Context_) {
     Directory_ = std::filesystem::temp_directory_path() /
@@ -101,6 +102,7 @@
       for (int Index = 0; Index < 24; ++Index)
         scheduleCall();
       injectNextFault();
+      injectNextPlatformFault();
     });
     schedule(DurationS_ - RecoveryS, [this] { IsRecovering_ = true; });
     schedule(DurationS_, [this] { Context_.stop(); });
@@ -184,6 +186,8 @@
     Target.Proxy_ = std::make_unique<SoakProxy>(
         Context_, endpoint(Address, ProxyPort), endpoint(Address, TargetPort));
     Target.Address_ = Address + ":" + std::to_string(ProxyPort);
+    Target.Server_->setCountedHosts(
+        [this](const std::string &Host) { return isInTouch(Host); });
     Targets_.push_back(std::move(Target));
     publish(Targets_.back(), "ready");
   }
@@ -198,7 +202,8 @@
           {"Slots", 8}}},
         {"Status", {{"State", State}, {"Seq", ++Sequence_}, {"ColdLeftS", 0}}},
         {"born", 1'000 + Sequence_}};
-    Store_.put("servers/" + Target.Server_->id(), Entry.dump());
+    Target.Published_ = Entry.dump();
+    Store_.put("servers/" + Target.Server_->id(), Target.Published_);
     Target.IsPublished_ = std::string(State) == "ready";
   }
 
@@ -228,7 +233,8 @@
         {"Version", Text},
         {"Listeners", {{{"Host", "h.example"}, {"Policy", Policy}}}},
         {"Clusters", {{{"Name", "s0"}}, {{"Name", "s1"}}, {{"Name", "s2"}}}}};
-    Store_.put("op/config", Config.dump());
+    Config_ = Config.dump();
+    Store_.put("op/config", Config_);
   }
 
   void addHost(int Index) {
@@ -291,6 +297,7 @@
     Request.Target_ = NewCall.IsIdempotent_ ? "/look/x" : "/book/x";
     Request.Headers_ = {{"Host", "h.example"},
                         {"Request-Id", NewCall.Id_},
+                        {"Soak-Host", std::to_string(NewCall.HostIndex_)},
                         {"Deadline-Ms", "1500"}};
     if (!NewCall.IsIdempotent_) {
       Request.Body_ = std::string(randomBelow(3'000), 'b');
@@ -452,6 +459,83 @@
              [this] { injectNextFault(); });
   }
 
+  /// Faults of the platform's targets and store that came later than the ones
+  /// above. They have random numbers of their own, so that the earlier seeds
+  /// keep their order of faults.
+  void injectNextPlatformFault() {
+    if (IsRecovering_)
+      return;
+    ++FaultCount_;
+    if (PlatformRandom_() % 2 == 0)
+      limitTarget();
+    else
+      restoreStore();
+    schedule(2 + static_cast<double>(PlatformRandom_() % 4'000) / 1'000,
+             [this] { injectNextPlatformFault(); });
+  }
+
+  /// True when the host was not killed, stopped or paused in the last StableS.
+  bool isInTouch(const std::string &HostIndex) const {
+    const HostProcess &Host = Hosts_.at(std::stoul(HostIndex));
+    return !Host.IsPaused_ && Host.StopSignalAt_ == SoakClock::time_point() &&
+           since(Host.DisturbedAt_) > StableS;
+  }
+
+  void limitTarget() {
+    const std::size_t Index = PlatformRandom_() % Targets_.size();
+    SoakTarget &Target = *Targets_[Index].Server_;
+    if (Target.rateLimit().isNamed())
+      return;
+    constexpr double Limits[] = {1, 2.5, 8, 20};
+    Target.rateLimit().begin(Limits[PlatformRandom_() % 4]);
+    schedule(9, [this, &Target] {
+      if (Target.rateLimit().largestExcess() > 0)
+        recordViolation("rate limit",
+                        Target.id() + " of " +
+                            std::to_string(Target.rateLimit().perSecond()) +
+                            ", excess " +
+                            std::to_string(Target.rateLimit().largestExcess()));
+      Target.rateLimit().end();
+    });
+  }
+
+  /// Brings the store back from a copy some seconds old. The operator and the
+  /// targets write again what it has lost.
+  void restoreStore() {
+    Store_.restore(std::chrono::milliseconds(500 + PlatformRandom_() % 8'000));
+    StoreDisturbedAt_ = std::max(StoreDisturbedAt_, SoakClock::now());
+    const auto WriteDelay = [this] {
+      return static_cast<double>(PlatformRandom_() % 1'500) / 1'000;
+    };
+    schedule(WriteDelay(), [this] {
+      if (Store_.value("op/config") != Config_)
+        Store_.put("op/config", Config_);
+    });
+    for (std::size_t Index = 0; Index < Targets_.size(); ++Index)
+      schedule(WriteDelay(),
+               [this, Index] { writeEntryAgain(Targets_[Index]); });
+    // Entries of instances that do not run any more lapse.
+    schedule(4.5, [this] {
+      for (const std::string &Key : Store_.keys())
+        if (std::none_of(Targets_.begin(), Targets_.end(),
+                         [&](const TargetEntry &Target) {
+                           return Key == "servers/" + Target.Server_->id();
+                         }) &&
+            Key != "op/config")
+          Store_.remove(Key);
+    });
+  }
+
+  void writeEntryAgain(const TargetEntry &Target) {
+    const std::string Key = "servers/" + Target.Server_->id();
+    if (Store_.value(Key) == Target.Published_)
+      return;
+    if (Target.Published_.empty())
+      Store_.remove(Key);
+    else
+      Store_.put(Key, Target.Published_);
+  }
+
   void killHost(std::optional<std::size_t> Chosen = std::nullopt) {
     const std::size_t Index = Chosen.value_or(randomBelow(Hosts_.size()));
     HostProcess &Host = Hosts_[Index];
@@ -574,8 +658,10 @@
     Target.WithdrawnAt_ = SoakClock::now();
     if (randomBelow(2) == 0)
       publish(Target, "draining");
-    else
+    else {
+      Target.Published_.clear();
       Store_.remove("servers/" + Target.Server_->id());
+    }
     const std::string Id = Target.Server_->id();
     schedule(DrainS + InFlightSlackS + 1.5,
              [this, Index, Id] { checkDrainAndReplace(Index, Id); });
@@ -606,6 +692,7 @@
   const std::uint64_t Seed_;
   const double DurationS_;
   std::mt19937_64 Random_;
+  std::mt19937_64 PlatformRandom_; ///< For injectNextPlatformFault().
   const std::string NetworkPrefix_;
   std::filesystem::path Directory_;
   asio::io_context Context_;
@@ -623,6 +710,7 @@
   SoakClock::time_point PublishedAt_;
   SoakClock::time_point StoreDisturbedAt_{};
   std::uint64_t Version_ = 0;
+  std::string Config_; ///< As last published.
   std::uint64_t Sequence_ = 0;
   int Calls_ = 0;
   int Served_ = 0;
--- a/test/soak-store.h
+++ b/test/soak-store.h
@@ -12,6 +12,7 @@
 #include <openssl/evp.h>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace kumquatpitch::test {
 
@@ -29,10 +30,38 @@
   void put(const std::string &Key, const std::string &Value) {
     Values_[Key] = {Value, ++Revision_};
     History_[Revision_] = Key;
+    keepCopy();
   }
   void remove(const std::string &Key) {
     Values_.erase(Key);
     History_[++Revision_] = Key;
+    keepCopy();
+  }
+  /// Goes back to what was stored `Age` ago and gives out revisions again.
+  void restore(std::chrono::steady_clock::duration Age) {
+    ++Era_;
+    Copies_.erase(Copies_.upper_bound(std::chrono::steady_clock::now() - Age),
+                  Copies_.end());
+    const Copy Restored =
+        Copies_.empty() ? Copy() : std::prev(Copies_.end())->second;
+    Values_ = Restored.Values_;
+    History_ = Restored.History_;
+    Revision_ = Restored.Revision_;
+  }
+  /// The stored value, or an empty text.
+  std::string value(const std::string &Key) const {
+    const std::map<std::string,
+                   std::pair<std::string, std::uint64_t>>::const_iterator It =
+        Values_.find(Key);
+    return It == Values_.end() ? "" : It->second.first;
+  }
+  std::vector<std::string> keys() const {
+    std::vector<std::string> Keys;
+    for (const std::pair<const std::string,
+                         std::pair<std::string, std::uint64_t>> &Entry :
+         Values_)
+      Keys.push_back(Entry.first);
+    return Keys;
   }
   /// Drops the history, so that watchers have to list all keys again.
   void compact() { History_.clear(); }
@@ -48,13 +77,16 @@
             Context_,
             std::chrono::milliseconds(Fault_ == StoreFault::Slow ? 300 : 3));
     Delay->async_wait([this, Exchange, Delay](const asio::error_code &) {
-      Exchange->answer(responseTo(Exchange->request().Target_));
+      HttpMessage Response = responseTo(Exchange->request().Target_);
+      Response.Headers_.emplace_back("Store-Era", std::to_string(Era_));
+      Exchange->answer(Response);
     });
   }
 
   HttpMessage reject(ResultCode Code) override {
     HttpMessage Response;
     Response.Status_ = httpStatus(Code);
+    Response.Headers_.emplace_back("Store-Era", std::to_string(Era_));
     return Response;
   }
 
@@ -108,8 +140,9 @@
     } else {
       const std::uint64_t After = std::stoull(queryParameter(Target, "after"));
       const bool IsCompacted =
-          After < Revision_ &&
-          (History_.empty() || History_.begin()->first > After + 1);
+          After > Revision_ ||
+          (After < Revision_ &&
+           (History_.empty() || History_.begin()->first > After + 1));
       if (IsCompacted) {
         Response.Status_ = 410;
         return Response;
@@ -129,10 +162,24 @@
     return Response;
   }
 
+  struct Copy {
+    std::map<std::string, std::pair<std::string, std::uint64_t>> Values_;
+    std::map<std::uint64_t, std::string> History_;
+    std::uint64_t Revision_ = 0;
+  };
+
+  void keepCopy() {
+    Copies_[std::chrono::steady_clock::now()] =
+        Copy{Values_, History_, Revision_};
+  }
+
   asio::io_context &Context_;
   std::map<std::string, std::pair<std::string, std::uint64_t>> Values_;
   std::map<std::uint64_t, std::string> History_; ///< Changed key by revision.
   std::uint64_t Revision_ = 0;
+  std::uint64_t Era_ = 1;
+  /// What was stored after each change, by its time.
+  std::map<std::chrono::steady_clock::time_point, Copy> Copies_;
   StoreFault Fault_ = StoreFault::None;
   std::vector<std::shared_ptr<HttpExchange>> Unanswered_;
 };
--- a/test/soak-target.h
+++ b/test/soak-target.h
@@ -6,11 +6,14 @@
 
 #include "kumquatpitch/message-parser.h"
 
+#include "soak-rate-limit.h"
+
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -66,6 +69,13 @@
     Service_ = std::move(Service);
   }
 
+  /// The rate limit that its answers name. `IsCounted` tells whether a request
+  /// of a host counts towards it.
+  SoakRateLimit &rateLimit() { return RateLimit_; }
+  void setCountedHosts(std::function<bool(const std::string &)> IsCounted) {
+    IsCounted_ = std::move(IsCounted);
+  }
+
   const std::string &id() const { return Id_; }
   const std::string &service() const { return Service_; }
   SoakClock::time_point lastRequest() const { return LastRequest_; }
@@ -115,12 +125,16 @@
     return static_cast<int>(Random_() % 100) < Percent;
   }
 
-  static std::string responseHead(int Status, const std::string &Id,
-                                  std::size_t Length,
-                                  const std::string &ExtraHeaders) {
+  std::string responseHead(int Status, const std::string &Id,
+                           std::size_t Length,
+                           const std::string &ExtraHeaders) const {
+    const std::string Limit =
+        RateLimit_.isNamed()
+            ? "Server-Limit: " + std::to_string(RateLimit_.perSecond()) + "\r\n"
+            : "";
     return "HTTP/1.1 " + std::to_string(Status) + " X\r\nRequest-Id: " + Id +
            "\r\nContent-Length: " + std::to_string(Length) + "\r\n" +
-           ExtraHeaders + "Server-Load: 1,0,8\r\n\r\n";
+           ExtraHeaders + Limit + "Server-Load: 1,0,8\r\n\r\n";
   }
 
   void execute(const std::shared_ptr<Connection> &Conn,
@@ -129,6 +143,10 @@
     const std::string *IdHeader = Request.header("Request-Id");
     const std::string *ExpectedInstance = Request.header("Target-Instance");
     const std::string Id = IdHeader ? *IdHeader : "";
+    const std::string *HostHeader = Request.header("Soak-Host");
+    const std::string Host = HostHeader ? *HostHeader : "";
+    if (RateLimit_.isNamed() && IsCounted_ && IsCounted_(Host))
+      RateLimit_.arrived(Host);
     if (ExpectedInstance && *ExpectedInstance != Id_)
       return write(Conn, responseHead(421, Id, 0, "Not-Executed: 1\r\n"));
     if (Running_ >= 8)
@@ -143,11 +161,13 @@
         std::make_shared<asio::steady_timer>(
             Context_, std::chrono::milliseconds(10 + Random_() % 60));
     // The instance may have been replaced by the time the work is done.
-    Work->async_wait(
-        [this, Conn, Id, Work, Service = Service_](const asio::error_code &) {
-          --Running_;
-          finish(Conn, Id, Service);
-        });
+    Work->async_wait([this, Conn, Id, Work, Host,
+                      Service = Service_](const asio::error_code &) {
+      --Running_;
+      if (RateLimit_.isNamed())
+        RateLimit_.answered(Host);
+      finish(Conn, Id, Service);
+    });
   }
 
   void finish(const std::shared_ptr<Connection> &Conn, const std::string &Id,
@@ -189,6 +209,8 @@
   std::map<std::string, ExecutionRecord> &Executions_;
   std::mt19937_64 Random_;
   Faults Faults_;
+  SoakRateLimit RateLimit_;
+  std::function<bool(const std::string &)> IsCounted_;
   int Running_ = 0;
   SoakClock::time_point LastRequest_{};
 };
