--- a/test/soak-store.h
+++ b/test/soak-store.h
@@ -136,7 +136,11 @@
            Values_)
         Body["items"].push_back(item(Entry.first));
     } else if (Target.rfind("/kv-key", 0) == 0) {
-      Body = item(queryParameter(Target, "Key"));
+      const std::string Key = queryParameter(Target, "Key");
+      if (Values_.count(Key) == 0)
+        Response.Status_ = 404;
+      else
+        Body = item(Key);
     } else {
       const std::uint64_t After = std::stoull(queryParameter(Target, "after"));
       const bool IsCompacted =
