--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -105,8 +105,8 @@
 
   /// Picks an untried target whose rate limit allows a request of this host:
   /// one that is due for a trial request, otherwise the one with room and the
-  /// lowest expected cost. Returns nothing when there
-  /// is neither, unless `IsLastResort_` is set and an ejected one has room.
+  /// lowest expected cost. Returns nothing when there is neither, unless
+  /// `IsLastResort_` is set and an ejected one has room.
   std::optional<TargetPick> pick(const PickConstraints &Constraints,
                                  TimePoint Now, RandomSource &Random);
 
@@ -115,9 +115,8 @@
 
   /// Records the end of an attempt. `Usual` is the usual latency of requests of
   /// its kind, or 0 while it is unknown; `Report` is empty when the target did
-  /// not answer. Returns the evidence as it was
-  /// counted: a timeout is none when the target has answered other requests
-  /// meanwhile.
+  /// not answer. Returns the evidence as it was counted: a timeout is none when
+  /// the target has answered other requests meanwhile.
   AttemptEvidence attemptEnded(const TargetId &Id, TimePoint StartedAt,
                                AttemptEvidence Evidence, Duration Usual,
                                const TargetReport &Report, TimePoint Now);
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -14,8 +14,6 @@
 
 /// The first element of every message; the second is its kind.
 constexpr int FormatVersion = 1;
-/// News of a rate limit is sent within seconds; older news has no use.
-constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
 enum class MessageKind : std::uint8_t {
   Probe = 1,
   Progress = 2,
@@ -23,6 +21,8 @@
   OutcomeCounts = 4,
   RateLimits = 5
 };
+/// News of a rate limit is sent within seconds of the answer that named it.
+constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
 
 Json toJson(const Member &Host) {
   return Json::array({Host.Id_.str(), Host.Address_, Host.Domain_.str(),
@@ -76,7 +76,7 @@
   return Change;
 }
 
-/// A target that names no limit has an empty value in its place.
+/// A limit that has ended is encoded as null.
 Json toJson(const NamedRateLimit &Limit) {
   const Json PerSecond =
       Limit.PerSecond_ == NoRateLimit ? Json(nullptr) : Json(Limit.PerSecond_);
--- a/src/target-rate-limit.cc
+++ b/src/target-rate-limit.cc
@@ -14,8 +14,9 @@
 constexpr double MinPerSecond = 0.1;
 /// Capacity of the bucket: this time at the host's rate, at least one request.
 constexpr double BurstSeconds = 1;
-/// Hosts without a part get no answers from the target. They are told of the
-/// limit this often, and by the next host in the order a little later.
+/// Hosts without a part get no answers from the target, so its limit is sent
+/// again this often. The next host in the order waits a little longer: it sends
+/// only what the first one has not.
 constexpr Duration RepeatPeriod = std::chrono::seconds(2);
 constexpr Duration RepeatTurn = std::chrono::milliseconds(250);
 /// How long the end of a limit is repeated, for hosts that missed the first
