--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -193,8 +193,8 @@
   void recordPeerOutcomes(const HostId &From, const ServiceName &Name,
                           const RequestOutcomeCounts &Counts, TimePoint Now);
 
-  /// Rate limits of targets of which the other hosts should be told now.
-  std::vector<NamedRateLimit> takeRateLimitNews(TimePoint Now);
+  /// Rate limits of targets that should be announced to the other hosts now.
+  std::vector<NamedRateLimit> takeRateLimitUpdates(TimePoint Now);
 
   /// Records a rate limit that a target named to another host. Returns whether
   /// that changes the limit that is in force here.
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -51,7 +51,7 @@
   void sendChangesToOwnDomain(const StoreChangesMessage &Message);
   void updateCallerHosts();
   void sendOutcomeCounts(TimePoint Now);
-  void sendRateLimitNews(TimePoint Now);
+  void sendRateLimitUpdates(TimePoint Now);
   void updateState();
   /// Reads the settings file again and applies its seeds; all other settings
   /// need a restart. Unless `IsSignalled`, does nothing if the seeds are the
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -133,8 +133,8 @@
   std::optional<ReadRequest> InProgress_;
   std::uint64_t InProgressEra_ = 0; ///< Era_ when the read began.
   bool NeedsListing_ = true;
-  bool TellsEra_ = false; ///< The next listing is the first of its era.
-  bool HasGap_ = false;   ///< Changes before a peer's message were missed.
+  bool AnnouncesEra_ = false; ///< The next listing is the first of its era.
+  bool HasGap_ = false;       ///< Changes before a peer's message were missed.
   std::optional<TimePoint> FreshAt_;
   std::optional<TimePoint> FailingSince_;
   std::optional<TimePoint> SettledAt_; ///< After a start during an outage.
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -129,8 +129,8 @@
   /// times a second.
   void updateRateLimitShares(TimePoint Now);
 
-  /// Rate limits of which the other hosts should be told now.
-  std::vector<NamedRateLimit> takeRateLimitNews(TimePoint Now);
+  /// Rate limits that should be announced to the other hosts now.
+  std::vector<NamedRateLimit> takeRateLimitUpdates(TimePoint Now);
 
   /// Records a rate limit that a target named to another host. Returns whether
   /// that changes the limit that is in force here.
--- a/include/kumquatpitch/target-rate-limit.h
+++ b/include/kumquatpitch/target-rate-limit.h
@@ -1,7 +1,8 @@
 // One host's part of the rate limit that a target names in its answers. The
-// limit holds for all hosts together; rate-limit-share.h divides it. Hosts tell
-// each other what a target named, as a host without a part gets no answers.
-// Owned by TargetBalancer, one for each target. Does no I/O and reads no clock.
+// limit holds for all hosts together; rate-limit-share.h divides it. Hosts
+// announce to each other what a target named, as a host without a part gets no
+// answers. Owned by TargetBalancer, one for each target. Does no I/O and reads
+// no clock.
 
 #ifndef KUMQUATPITCH_TARGET_RATE_LIMIT_H
 #define KUMQUATPITCH_TARGET_RATE_LIMIT_H
@@ -39,8 +40,8 @@
   /// Records the limit that an answer named, or NoRateLimit.
   void recordAnswer(double PerSecond, TimePoint Now);
 
-  /// Records a limit that the target named to another host `Age` ago. Older
-  /// news than what is known is ignored.
+  /// Records a limit that the target named to another host `Age` ago. An
+  /// update that is older than the known limit is ignored.
   void recordPeer(double PerSecond, Duration Age, TimePoint Now);
 
   /// Requests per second that the target takes from all hosts together.
@@ -55,13 +56,13 @@
   /// Counts a request that was sent, whatever it was sent for.
   void attemptStarted(TimePoint Now);
 
-  /// Age of the limit if the other hosts should be told of it now, after which
-  /// they count as told.
-  std::optional<Duration> takeNews(TimePoint Now);
+  /// Age of the limit if it should be announced to the other hosts now. It then
+  /// counts as announced.
+  std::optional<Duration> takeUpdate(TimePoint Now);
 
 private:
   void setLimit(double PerSecond, TimePoint NamedAt, TimePoint Now);
-  bool isForgotten(TimePoint Now) const;
+  bool isExpired(TimePoint Now) const;
   double tokens(TimePoint Now) const;
   void settle(TimePoint Now);
 
@@ -74,10 +75,10 @@
   /// part: another host may have used it until now.
   double Tokens_ = 0;
   TimePoint SettledAt_;
-  bool HasNews_ = false;             ///< The limit changed by an own answer.
-  bool IsNamedToSelf_ = false;       ///< The last news came by an own answer.
-  std::optional<TimePoint> ToldAt_;  ///< Last news that was sent or received.
-  std::optional<TimePoint> EndedAt_; ///< When the last limit ended.
+  bool HasUpdate_ = false;       ///< The limit changed by an own answer.
+  bool IsFromOwnAnswer_ = false; ///< The last update was an own answer.
+  std::optional<TimePoint> AnnouncedAt_; ///< Last one sent or received.
+  std::optional<TimePoint> EndedAt_;     ///< When the last limit ended.
 };
 
 } // namespace kumquatpitch
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -573,14 +573,14 @@
     It->second.Balancer_.recordPeerOutcomes(From, Counts, Now);
 }
 
-std::vector<NamedRateLimit> GatewayCore::takeRateLimitNews(TimePoint Now) {
-  std::vector<NamedRateLimit> News;
+std::vector<NamedRateLimit> GatewayCore::takeRateLimitUpdates(TimePoint Now) {
+  std::vector<NamedRateLimit> Updates;
   for (std::pair<const ServiceName, ServiceState> &Service : Services_) {
     Service.second.Balancer_.updateRateLimitShares(Now);
-    std::ranges::move(Service.second.Balancer_.takeRateLimitNews(Now),
-                      std::back_inserter(News));
+    std::ranges::move(Service.second.Balancer_.takeRateLimitUpdates(Now),
+                      std::back_inserter(Updates));
   }
-  return News;
+  return Updates;
 }
 
 bool GatewayCore::recordPeerRateLimit(const NamedRateLimit &Limit,
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -35,9 +35,10 @@
 /// group a random sample is sufficient, and the number of messages that a host
 /// sends does not grow with the fleet.
 constexpr std::size_t MaxOutcomeCountRecipients = 8;
-/// How often news of targets' rate limits is sent. The users' rule begins to
-/// count a host's requests half a second after an answer named the limit to it.
-constexpr Duration RateLimitNewsPeriod = std::chrono::milliseconds(200);
+/// How often changes of targets' rate limits are sent. The users' rule begins
+/// to count a host's requests half a second after an answer named the limit to
+/// it.
+constexpr Duration RateLimitUpdatePeriod = std::chrono::milliseconds(200);
 /// Repeated failures of a target are sent to the other hosts at most once in
 /// this time.
 constexpr Duration EvidenceInterval = std::chrono::milliseconds(300);
@@ -219,8 +220,8 @@
   Timers_.subscribe(TickPeriod, [this](TimePoint) { tick(); });
   Timers_.subscribe(OutcomeCountPeriod,
                     [this](TimePoint Now) { sendOutcomeCounts(Now); });
-  Timers_.subscribe(RateLimitNewsPeriod,
-                    [this](TimePoint Now) { sendRateLimitNews(Now); });
+  Timers_.subscribe(RateLimitUpdatePeriod,
+                    [this](TimePoint Now) { sendRateLimitUpdates(Now); });
   Timers_.subscribe(SettingsCheckPeriod,
                     [this](TimePoint) { checkSettings(false); });
   tick();
@@ -315,7 +316,7 @@
                  std::get_if<RateLimitsMessage>(&*Datagram)) {
     for (const NamedRateLimit &Limit : Limits->Limits_)
       if (Core_.recordPeerRateLimit(Limit, Now))
-        Log_.write(LogLevel::Info, "target", "limit_told",
+        Log_.write(LogLevel::Info, "target", "limit_received",
                    {{"service", Limit.Service_.str()},
                     {"target", Limit.Target_.str()},
                     {"limit", formatRateLimit(Limit.PerSecond_)},
@@ -512,9 +513,9 @@
     Peers_.send(Entry.first, Entry.second);
 }
 
-void GatewayDaemon::sendRateLimitNews(TimePoint Now) {
+void GatewayDaemon::sendRateLimitUpdates(TimePoint Now) {
   for (const RateLimitsMessage &Part :
-       splitRateLimits(Core_.takeRateLimitNews(Now)))
+       splitRateLimits(Core_.takeRateLimitUpdates(Now)))
     Peers_.sendToAll(RateLimitsMessage{Part.Limits_, true}, Part);
 }
 
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -21,7 +21,7 @@
   OutcomeCounts = 4,
   RateLimits = 5
 };
-/// News of a rate limit is sent within seconds of the answer that named it.
+/// A rate limit is announced within seconds of the answer that named it.
 constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
 
 Json toJson(const Member &Host) {
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -92,7 +92,7 @@
                             Read.Era_ < Era_ && InProgressEra_ == Era_ &&
                             !Request.AllowStale_;
   if (Read.Era_ > Era_ || IsStoreOlder) {
-    TellsEra_ = Revision_ != 0;
+    AnnouncesEra_ = Revision_ != 0;
     enterEra(Read.Era_, Now, Result);
   }
   if (Read.Status_ != ReadStatus::Ok || Read.Era_ < Era_) {
@@ -141,10 +141,10 @@
   Result.TargetsChanged_ = Directory_.replaceAll(Entries, Now);
   Revision_ = Read.Revision_;
   NeedsListing_ = false;
-  if (TellsEra_)
+  if (AnnouncesEra_)
     Result.ToForward_ = StoreChangesMessage{
         Self_, Revision_, Revision_, ConfigRevision_, {}, Era_};
-  TellsEra_ = false;
+  AnnouncesEra_ = false;
 }
 
 void StoreFollower::applyConfig(const PublishedConfig &Config,
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -448,16 +448,17 @@
                              : It->second.RateLimit_.perSecond(Now);
 }
 
-std::vector<NamedRateLimit> TargetBalancer::takeRateLimitNews(TimePoint Now) {
-  std::vector<NamedRateLimit> News;
+std::vector<NamedRateLimit>
+TargetBalancer::takeRateLimitUpdates(TimePoint Now) {
+  std::vector<NamedRateLimit> Updates;
   for (std::pair<const TargetId, State> &Entry : States_) {
     State &Target = Entry.second;
-    if (const std::optional<Duration> Age = Target.RateLimit_.takeNews(Now))
-      News.push_back(NamedRateLimit{Target.Entry_.Service_, Entry.first,
-                                    Target.Entry_.StartedUnixMs_,
-                                    Target.RateLimit_.perSecond(Now), *Age});
+    if (const std::optional<Duration> Age = Target.RateLimit_.takeUpdate(Now))
+      Updates.push_back(NamedRateLimit{Target.Entry_.Service_, Entry.first,
+                                       Target.Entry_.StartedUnixMs_,
+                                       Target.RateLimit_.perSecond(Now), *Age});
   }
-  return News;
+  return Updates;
 }
 
 bool TargetBalancer::recordPeerRateLimit(const NamedRateLimit &Limit,
--- a/src/target-rate-limit.cc
+++ b/src/target-rate-limit.cc
@@ -1,4 +1,4 @@
-// Shares, token bucket and news of a target's rate limit. See
+// Token bucket, expiry and updates of a target's rate limit. See
 // target-rate-limit.h.
 
 #include "kumquatpitch/target-rate-limit.h"
@@ -22,13 +22,14 @@
 /// How long the end of a limit is repeated, for hosts that missed the first
 /// datagram.
 constexpr Duration RepeatEndFor = std::chrono::seconds(6);
-/// A host without a part forgets a limit when it has had no news of it for this
-/// long, as the hosts with a part may have no requests for the target. They do
-/// so in turn: the first one that sends a request tells the others.
-constexpr Duration ForgetAfter = std::chrono::seconds(10);
-constexpr Duration ForgetTurn = std::chrono::milliseconds(500);
+/// At a host without a part, a limit expires when no update of it has arrived
+/// for this long, as the hosts with a part may have no requests for the target.
+/// It expires at one host after the other: the first one that sends a request
+/// announces to the others what the target answers.
+constexpr Duration ExpiryTime = std::chrono::seconds(10);
+constexpr Duration ExpiryTurn = std::chrono::milliseconds(500);
 /// The same for hosts that callers are not given. There may be hundreds.
-constexpr Duration ForgetAfterUnassigned = std::chrono::seconds(60);
+constexpr Duration UnassignedExpiryTime = std::chrono::seconds(60);
 
 } // namespace
 
@@ -57,8 +58,8 @@
 }
 
 void TargetRateLimit::recordAnswer(double PerSecond, TimePoint Now) {
-  HasNews_ |= PerSecond != perSecond(Now);
-  IsNamedToSelf_ = true;
+  HasUpdate_ |= PerSecond != perSecond(Now);
+  IsFromOwnAnswer_ = true;
   setLimit(PerSecond, Now, Now);
 }
 
@@ -67,25 +68,25 @@
   const TimePoint NamedAt = Now - Age;
   if (NamedAt > NamedAt_) {
     setLimit(PerSecond, NamedAt, Now);
-    IsNamedToSelf_ = false;
+    IsFromOwnAnswer_ = false;
   }
   if (PerSecond == PerSecond_) {
-    HasNews_ = false;
-    ToldAt_ = Now;
+    HasUpdate_ = false;
+    AnnouncedAt_ = Now;
   }
 }
 
-bool TargetRateLimit::isForgotten(TimePoint Now) const {
+bool TargetRateLimit::isExpired(TimePoint Now) const {
   if (Share_ > 0)
     return false;
-  const Duration After =
-      Rank_ < Hosts_ ? ForgetAfter + ForgetTurn * static_cast<int>(Rank_)
-                     : ForgetAfterUnassigned;
+  const Duration After = Rank_ < Hosts_
+                             ? ExpiryTime + ExpiryTurn * static_cast<int>(Rank_)
+                             : UnassignedExpiryTime;
   return Now - NamedAt_ > After;
 }
 
 double TargetRateLimit::perSecond(TimePoint Now) const {
-  if (isForgotten(Now))
+  if (isExpired(Now))
     return NoRateLimit;
   return PerSecond_;
 }
@@ -122,17 +123,18 @@
   Tokens_ -= 1;
 }
 
-std::optional<Duration> TargetRateLimit::takeNews(TimePoint Now) {
+std::optional<Duration> TargetRateLimit::takeUpdate(TimePoint Now) {
   const bool IsWorthRepeating =
       PerSecond_ != NoRateLimit || (EndedAt_ && Now - *EndedAt_ < RepeatEndFor);
   const Duration Period =
       RepeatPeriod + RepeatTurn * static_cast<int>(std::min(Rank_, Hosts_));
-  const bool IsRepeatDue = IsWorthRepeating && IsNamedToSelf_ && ToldAt_ &&
-                           NamedAt_ > *ToldAt_ && Now - *ToldAt_ >= Period;
-  if (!HasNews_ && !IsRepeatDue)
+  const bool IsRepeatDue = IsWorthRepeating && IsFromOwnAnswer_ &&
+                           AnnouncedAt_ && NamedAt_ > *AnnouncedAt_ &&
+                           Now - *AnnouncedAt_ >= Period;
+  if (!HasUpdate_ && !IsRepeatDue)
     return std::nullopt;
-  HasNews_ = false;
-  ToldAt_ = Now;
+  HasUpdate_ = false;
+  AnnouncedAt_ = Now;
   return Now - NamedAt_;
 }
 
--- a/test/gateway-load-test.cc
+++ b/test/gateway-load-test.cc
@@ -389,7 +389,7 @@
   void exchangeRateLimits() {
     for (std::size_t From = 0; From < Hosts_.size(); ++From)
       for (const NamedRateLimit &Limit :
-           Hosts_[From]->takeRateLimitNews(atMs(Now_)))
+           Hosts_[From]->takeRateLimitUpdates(atMs(Now_)))
         for (std::size_t To = 0; To < Hosts_.size(); ++To)
           if (To != From)
             Hosts_[To]->recordPeerRateLimit(Limit, atMs(Now_));
--- a/test/target-rate-limit-test.cc
+++ b/test/target-rate-limit-test.cc
@@ -1,4 +1,4 @@
-// Tests one host's part of a target's rate limit, and the news about it.
+// Tests one host's part of a target's rate limit, and its announcement.
 
 #include "kumquatpitch/target-rate-limit.h"
 
@@ -65,7 +65,7 @@
   CHECK_EQUAL(10, sendAllAllowed(20, 120));
 }
 
-TEST(TargetRateLimit, NewsOfPeersCountsByItsAge) {
+TEST(TargetRateLimit, UpdatesOfPeersCountByTheirAge) {
   Limit_.recordAnswer(NoRateLimit, atMs(1'000));
   Limit_.recordPeer(2, ms(500), atMs(1'400));
   CHECK(Limit_.perSecond(atMs(1'400)) == NoRateLimit);
@@ -75,43 +75,43 @@
   CHECK_EQUAL(2, Limit_.perSecond(atMs(1'450)));
 }
 
-TEST(TargetRateLimit, TellsAChangeOnce) {
-  CHECK_FALSE(Limit_.takeNews(atMs(0)).has_value());
+TEST(TargetRateLimit, AnnouncesAChangeOnce) {
+  CHECK_FALSE(Limit_.takeUpdate(atMs(0)).has_value());
   Limit_.recordAnswer(2, atMs(100));
-  CHECK(Limit_.takeNews(atMs(150)) == ms(50));
+  CHECK(Limit_.takeUpdate(atMs(150)) == ms(50));
   Limit_.recordAnswer(2, atMs(200));
-  CHECK_FALSE(Limit_.takeNews(atMs(250)).has_value());
+  CHECK_FALSE(Limit_.takeUpdate(atMs(250)).has_value());
   Limit_.recordAnswer(NoRateLimit, atMs(300));
-  CHECK(Limit_.takeNews(atMs(300)) == ms(0));
+  CHECK(Limit_.takeUpdate(atMs(300)) == ms(0));
 }
 
 // Guards against a datagram from every host when all of them learn the limit
 // from their own answers.
-TEST(TargetRateLimit, DoesNotTellWhatAPeerHasTold) {
+TEST(TargetRateLimit, DoesNotRepeatWhatAPeerAnnounced) {
   Limit_.recordAnswer(2, atMs(100));
   Limit_.recordPeer(2, ms(80), atMs(120));
-  CHECK_FALSE(Limit_.takeNews(atMs(200)).has_value());
+  CHECK_FALSE(Limit_.takeUpdate(atMs(200)).has_value());
 }
 
 // Guards against hosts that avoid a target for long because they missed the end
 // of its limit, or that ask it because they have forgotten the limit.
 TEST(TargetRateLimit, RepeatsWhatItsAnswersName) {
   Limit_.recordAnswer(2, atMs(0));
-  CHECK(Limit_.takeNews(atMs(0)).has_value());
-  CHECK_FALSE(Limit_.takeNews(atMs(2'500)).has_value()); // No newer answer.
+  CHECK(Limit_.takeUpdate(atMs(0)).has_value());
+  CHECK_FALSE(Limit_.takeUpdate(atMs(2'500)).has_value()); // No newer answer.
   Limit_.recordAnswer(2, atMs(2'600));
-  CHECK(Limit_.takeNews(atMs(2'700)) == ms(100));
+  CHECK(Limit_.takeUpdate(atMs(2'700)) == ms(100));
   Limit_.recordAnswer(NoRateLimit, atMs(3'000));
-  CHECK(Limit_.takeNews(atMs(3'000)).has_value());
+  CHECK(Limit_.takeUpdate(atMs(3'000)).has_value());
   Limit_.recordAnswer(NoRateLimit, atMs(5'100));
-  CHECK(Limit_.takeNews(atMs(5'100)).has_value());
+  CHECK(Limit_.takeUpdate(atMs(5'100)).has_value());
   Limit_.recordAnswer(NoRateLimit, atMs(20'000));
-  CHECK_FALSE(Limit_.takeNews(atMs(20'000)).has_value());
+  CHECK_FALSE(Limit_.takeUpdate(atMs(20'000)).has_value());
 }
 
 // Guards against a target that stays unused because the hosts with a part have
 // no requests for it. The others ask it one after the other.
-TEST(TargetRateLimit, HostsWithoutPartForgetInTurn) {
+TEST(TargetRateLimit, LimitExpiresInTurnAtHostsWithoutPart) {
   Limit_.setShare(0, atMs(0));
   Limit_.setRank(1, 3);
   Limit_.recordPeer(1, ms(0), atMs(50));
@@ -122,8 +122,8 @@
   CHECK_FALSE(Limit_.allowsAttempt(atMs(10'000)));
   CHECK(Limit_.allowsAttempt(atMs(10'600)));
   CHECK_FALSE(Next.allowsAttempt(atMs(10'600)));
-  // The first one is told that the limit still holds, and tells the others.
+  // The first one learns that the limit still holds, and announces it.
   Limit_.recordAnswer(1, atMs(10'700));
   CHECK_FALSE(Limit_.allowsAttempt(atMs(10'700)));
-  CHECK(Limit_.takeNews(atMs(10'800)).has_value());
+  CHECK(Limit_.takeUpdate(atMs(10'800)).has_value());
 }
