Give repeated pieces of the rate limits one place each

No behaviour changes.

- PeerChannel::sendToAll and forward set the mark of the last hop, which the daemon did four times.
- takeRateLimitUpdates divides the limits itself; its only caller always did both, and the second step is no longer public.
Nor is sharingHosts.
- A pick asks the rate limit of a target once before its room, not again in it.

--- a/include/kumquatpitch/peer-channel.h
+++ b/include/kumquatpitch/peer-channel.h
@@ -30,11 +30,24 @@
   /// Sends to all other live hosts of the own failure domain.
   void sendToOwnDomain(const PeerDatagram &Message);
 
-  /// Sends `LastHop` to the own failure domain, and `Forwarded` to a random
-  /// serving host of each other one.
-  void sendToAll(const PeerDatagram &Forwarded, const PeerDatagram &LastHop);
+  /// Sends to all other live hosts of the own failure domain, and to a random
+  /// serving host of each other one, which forwards the message.
+  template <class Message> void sendToAll(Message Sent) {
+    Sent.Forward_ = true;
+    sendToOtherDomains(Sent);
+    forward(Sent);
+  }
+
+  /// Forwards a message that asks for it within the own failure domain.
+  template <class Message> void forward(Message Received) {
+    if (!Received.Forward_)
+      return;
+    Received.Forward_ = false;
+    sendToOwnDomain(Received);
+  }
 
 private:
+  void sendToOtherDomains(const PeerDatagram &Message);
   void sendBytes(const std::string &Address, const std::string &Bytes);
 
   asio::ip::udp::socket &Socket_;
--- a/include/kumquatpitch/rate-limit-share.h
+++ b/include/kumquatpitch/rate-limit-share.h
@@ -50,10 +50,6 @@
   std::map<HostId, Rate> Rates_;
 };
 
-/// Number of hosts that share a limit. A host may send one request at any
-/// moment, so more hosts could exceed a small limit in a burst.
-std::size_t sharingHosts(double PerSecond);
-
 /// Fraction of a target's limit of `PerSecond` that `Self` may use: 0 for a
 /// host without a part, and 1 when there are no other hosts. The hosts with a
 /// part are chosen for each target by rendezvous hashing, with the weights.
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -125,11 +125,9 @@
   /// together; NoRateLimit when it named no limit or is unknown.
   double rateLimit(const TargetId &Id, TimePoint Now) const;
 
-  /// Divides the targets' rate limits among the assigned hosts. Call it a few
-  /// times a second.
-  void updateRateLimitShares(TimePoint Now);
-
-  /// Rate limits that should be announced to the other hosts now.
+  /// Divides the targets' rate limits among the assigned hosts again, and
+  /// returns those that should be announced to the other hosts now. Call it a
+  /// few times a second.
   std::vector<NamedRateLimit> takeRateLimitUpdates(TimePoint Now);
 
   /// Records a rate limit that a target named to another host. Returns whether
@@ -250,6 +248,7 @@
                       TimePoint Now) const;
   Duration turnDelay(const State &Target) const;
   void updateRank(State &Target) const;
+  void updateRateLimitShares(TimePoint Now);
   void updateRateLimitShare(State &Target,
                             const std::vector<HostWeight> &Weights,
                             TimePoint Now) const;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -575,11 +575,9 @@
 
 std::vector<NamedRateLimit> GatewayCore::takeRateLimitUpdates(TimePoint Now) {
   std::vector<NamedRateLimit> Updates;
-  for (std::pair<const ServiceName, ServiceState> &Service : Services_) {
-    Service.second.Balancer_.updateRateLimitShares(Now);
+  for (std::pair<const ServiceName, ServiceState> &Service : Services_)
     std::ranges::move(Service.second.Balancer_.takeRateLimitUpdates(Now),
                       std::back_inserter(Updates));
-  }
   return Updates;
 }
 
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -302,11 +302,7 @@
         It->second.StartedUnixMs_ == Evidence->StartedUnixMs_)
       Core_.applyPeerObservation(Evidence->Service_, Evidence->Target_,
                                  Evidence->Observation_, Now);
-    if (Evidence->Forward_) {
-      EvidenceMessage LastHop = *Evidence;
-      LastHop.Forward_ = false;
-      Peers_.sendToOwnDomain(LastHop);
-    }
+    Peers_.forward(*Evidence);
   } else if (const OutcomeCountsMessage *Counts =
                  std::get_if<OutcomeCountsMessage>(&*Datagram)) {
     for (const std::pair<const ServiceName, RequestOutcomeCounts> &Entry :
@@ -322,8 +318,7 @@
                     {"limit", formatRateLimit(Limit.PerSecond_)},
                     {"age_ms", std::to_string(toMilliseconds(Limit.Age_))},
                     {"sender", SenderAddress}});
-    if (Limits->Forward_)
-      Peers_.sendToOwnDomain(RateLimitsMessage{Limits->Limits_, false});
+    Peers_.forward(*Limits);
   }
 }
 
@@ -450,11 +445,8 @@
     return;
   if (Observation == TargetObservation::Failed)
     LastSent = Now;
-  const EvidenceMessage Message{Target.Service_, Target.Id_,
-                                Target.StartedUnixMs_, Observation, true};
-  EvidenceMessage LastHop = Message;
-  LastHop.Forward_ = false;
-  Peers_.sendToAll(Message, LastHop);
+  Peers_.sendToAll(EvidenceMessage{Target.Service_, Target.Id_,
+                                   Target.StartedUnixMs_, Observation, true});
 }
 
 void GatewayDaemon::updateCallerHosts() {
@@ -516,7 +508,7 @@
 void GatewayDaemon::sendRateLimitUpdates(TimePoint Now) {
   for (const RateLimitsMessage &Part :
        splitRateLimits(Core_.takeRateLimitUpdates(Now)))
-    Peers_.sendToAll(RateLimitsMessage{Part.Limits_, true}, Part);
+    Peers_.sendToAll(Part);
 }
 
 /// After its start, a host that may still lack target entries does not serve
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -2,8 +2,9 @@
 
 #include "kumquatpitch/gateway-front.h"
 
+#include "kumquatpitch/parse-number.h"
+
 #include <asio/steady_timer.hpp>
-#include <charconv>
 #include <cstdio>
 
 namespace kumquatpitch {
@@ -25,15 +26,6 @@
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(20);
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
 
-std::optional<std::int64_t> parseInteger(const std::string &Text) {
-  std::int64_t Value = 0;
-  const std::from_chars_result Parsed =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Parsed.ec != std::errc() || Parsed.ptr != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 std::string formatSeconds(Duration Span) {
   char Text[32];
   std::snprintf(Text, sizeof Text, "%.3f",
@@ -113,7 +105,8 @@
     Head.Path_ = Message.Target_.substr(0, Message.Target_.find('?'));
     if (const std::string *TimeLeft =
             Message.header(Dependencies_.Headers_.DeadlineMs_))
-      if (const std::optional<std::int64_t> Ms = parseInteger(*TimeLeft))
+      if (const std::optional<std::int64_t> Ms =
+              parseNumber<std::int64_t>(*TimeLeft))
         Head.TimeLeft_ = std::chrono::milliseconds(
             std::clamp<std::int64_t>(*Ms, 0, MaxDeadlineMs));
     return Head;
--- a/src/peer-channel.cc
+++ b/src/peer-channel.cc
@@ -28,8 +28,7 @@
       sendBytes(Host.Address_, Bytes);
 }
 
-void PeerChannel::sendToAll(const PeerDatagram &Forwarded,
-                            const PeerDatagram &LastHop) {
+void PeerChannel::sendToOtherDomains(const PeerDatagram &Message) {
   std::map<FailureDomain, std::vector<const Member *>> OtherDomains;
   const std::vector<Member> Members = Membership_.members();
   for (const Member &Host : Members)
@@ -38,9 +37,7 @@
       OtherDomains[Host.Domain_].push_back(&Host);
   for (const std::pair<const FailureDomain, std::vector<const Member *>>
            &Domain : OtherDomains)
-    send(Domain.second[Random_.below(Domain.second.size())]->Address_,
-         Forwarded);
-  sendToOwnDomain(LastHop);
+    send(Domain.second[Random_.below(Domain.second.size())]->Address_, Message);
 }
 
 } // namespace kumquatpitch
--- a/src/rate-limit-share.cc
+++ b/src/rate-limit-share.cc
@@ -37,6 +37,14 @@
   return -Host.PerSecond_ / std::log(Uniform);
 }
 
+/// Number of hosts that share a limit. A host may send one request at any
+/// moment, so more hosts could exceed a small limit in a burst.
+std::size_t sharingHosts(double PerSecond) {
+  constexpr double MaxLimit = 1e6;
+  constexpr std::size_t MinHosts = 2;
+  return static_cast<std::size_t>(std::min(PerSecond, MaxLimit)) + MinHosts;
+}
+
 } // namespace
 
 void HostDemand::setHosts(const std::vector<HostId> &Hosts, TimePoint Now) {
@@ -83,12 +91,6 @@
   return Weights;
 }
 
-std::size_t sharingHosts(double PerSecond) {
-  constexpr double MaxLimit = 1e6;
-  constexpr std::size_t MinHosts = 2;
-  return static_cast<std::size_t>(std::min(PerSecond, MaxLimit)) + MinHosts;
-}
-
 double shareOfRateLimit(double PerSecond, const TargetId &Target,
                         const HostId &Self,
                         const std::vector<HostWeight> &Hosts) {
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -159,7 +159,7 @@
   return load(Target, Now) < Target.Entry_.Slots_ +
                                  (HasWaitingRequests_ ? MaxWaitingAtBusyTarget
                                                       : MaxWaitingAtTarget) &&
-         Now >= Target.RefusingUntil_ && Target.RateLimit_.allowsAttempt(Now);
+         Now >= Target.RefusingUntil_;
 }
 
 bool TargetBalancer::areAllEjected(TimePoint Now) const {
@@ -287,7 +287,9 @@
   const State *Best = nullptr;
   for (const std::pair<const TargetId, State> &Entry : States_)
     if (Entry.second.Ejected_ && !Entry.second.isUnavailable(Now) &&
-        hasRoom(Entry.second, Now) && !Constraints.Tried_.count(Entry.first) &&
+        hasRoom(Entry.second, Now) &&
+        Entry.second.RateLimit_.allowsAttempt(Now) &&
+        !Constraints.Tried_.count(Entry.first) &&
         (!Best || Entry.second.FailedAt_ < Best->FailedAt_))
       Best = &Entry.second;
   if (!Best)
@@ -450,6 +452,7 @@
 
 std::vector<NamedRateLimit>
 TargetBalancer::takeRateLimitUpdates(TimePoint Now) {
+  updateRateLimitShares(Now);
   std::vector<NamedRateLimit> Updates;
   for (std::pair<const TargetId, State> &Entry : States_) {
     State &Target = Entry.second;
--- a/src/target-report.cc
+++ b/src/target-report.cc
@@ -2,7 +2,8 @@
 
 #include "kumquatpitch/target-report.h"
 
-#include <charconv>
+#include "kumquatpitch/parse-number.h"
+
 #include <cmath>
 #include <cstdio>
 
@@ -10,18 +11,6 @@
 
 namespace {
 
-/// Parses all of `Text` as a number.
-template <class Number>
-std::optional<Number> parseNumber(const std::string &Text) {
-  Number Value = 0;
-  const char *End = Text.data() + Text.size();
-  const std::from_chars_result Parsed =
-      std::from_chars(Text.data(), End, Value);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End)
-    return std::nullopt;
-  return Value;
-}
-
 std::optional<ReportedLoad> parseLoad(const std::string &Text) {
   const std::size_t Comma = Text.find(',');
   if (Comma == std::string::npos)
