--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -780,6 +780,10 @@
   if (!mkdtemp(Folder.data()))
     abandon("no temporary folder");
   folder() = Folder;
+  std::thread([] {
+    sleepMs(115'000);
+    abandon("it took too long");
+  }).detach();
   return Folder;
 }
 
