--- /dev/null
+++ b/test/gateway-front-fixture.h
@@ -0,0 +1,253 @@
+// A GatewayFront over real sockets in one process, between a caller and a
+// scripted target. Used by the tests of the front, of answers and of planned
+// stops.
+
+#ifndef KUMQUATPITCH_GATEWAY_FRONT_FIXTURE_H
+#define KUMQUATPITCH_GATEWAY_FRONT_FIXTURE_H
+
+#include "kumquatpitch/asio-timer-service.h"
+#include "kumquatpitch/gateway-front.h"
+
+#include "child-process.h"
+
+#include <array>
+#include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <fcntl.h>
+#include <functional>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace kumquatpitch::test {
+
+inline const std::uint16_t FrontPort = static_cast<std::uint16_t>(freePort());
+inline const std::uint16_t TargetPort = static_cast<std::uint16_t>(freePort());
+
+inline asio::ip::tcp::endpoint localEndpoint(std::uint16_t Port) {
+  return {asio::ip::make_address("127.0.0.1"), Port};
+}
+
+/// Accepts connections and passes the received bytes to a script.
+class ScriptedTarget {
+public:
+  using Socket = asio::ip::tcp::socket;
+  /// Gets the connection and all bytes of the request so far. Returns true when
+  /// it has handled the request; the bytes are then cleared.
+  using Script = std::function<bool(Socket &, const std::string &Request)>;
+
+  ScriptedTarget(asio::io_context &Context, Script OnRequest)
+      : Acceptor_(Context, localEndpoint(TargetPort)),
+        OnRequest_(std::move(OnRequest)) {
+    accept();
+  }
+
+  int accepted() const { return Accepted_; }
+  int closed() const { return Closed_; }
+
+private:
+  struct Connection {
+    explicit Connection(Socket Accepted) : Socket_(std::move(Accepted)) {}
+    Socket Socket_;
+    std::array<char, 4'096> Buffer_;
+    std::string Bytes_;
+  };
+
+  void accept() {
+    Acceptor_.async_accept(
+        [this](const asio::error_code &Error, Socket Accepted) {
+          if (Error)
+            return;
+          ++Accepted_;
+          read(std::make_shared<Connection>(std::move(Accepted)));
+          accept();
+        });
+  }
+
+  void read(const std::shared_ptr<Connection> &Source) {
+    Source->Socket_.async_read_some(
+        asio::buffer(Source->Buffer_),
+        [this, Source](const asio::error_code &Error, std::size_t Size) {
+          if (Error) {
+            ++Closed_;
+            return;
+          }
+          Source->Bytes_.append(Source->Buffer_.data(), Size);
+          if (OnRequest_(Source->Socket_, Source->Bytes_))
+            Source->Bytes_.clear();
+          if (Source->Socket_.is_open())
+            read(Source);
+        });
+  }
+
+  asio::ip::tcp::acceptor Acceptor_;
+  Script OnRequest_;
+  int Accepted_ = 0;
+  int Closed_ = 0;
+};
+
+inline void sendText(asio::ip::tcp::socket &Socket, const std::string &Text) {
+  asio::write(Socket, asio::buffer(Text));
+}
+
+inline std::string requestIdOf(const std::string &Request) {
+  const std::string Header = "Kumquatpitch-Request-Id: ";
+  const std::size_t Start = Request.find(Header) + Header.size();
+  return Request.substr(Start, Request.find("\r\n", Start) - Start);
+}
+
+inline std::string answer(const std::string &Id, const std::string &Body,
+                          const std::string &Status = "200 OK") {
+  return "HTTP/1.1 " + Status + "\r\nKumquatpitch-Request-Id: " + Id +
+         "\r\nKumquatpitch-Answer-Signature: s\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+constexpr std::uint64_t MaxAnswerBytes = 2'000'000;
+
+inline bool hasCompleteHead(const std::string &Request) {
+  return Request.find("\r\n\r\n") != std::string::npos;
+}
+
+TEST_BASE(GatewayFrontFixture) {
+  asio::io_context Context_;
+  AsioTimerService Timers_{Context_};
+  SeededRandom Random_{1};
+  GatewayCore Core_{GatewayOptions{HostId("h"), FailureDomain("a"), 0.7, 0.2,
+                                   64, std::chrono::seconds(10)},
+                    Random_};
+  HttpClient Client_{Context_};
+  int DevNull_ = open("/dev/null", O_WRONLY);
+  EventLog Log_{Timers_, DevNull_, LogLevel::Info};
+  Metrics Metrics_;
+
+  class RecordingSink : public EvidenceSink {
+  public:
+    void broadcastEvidence(const TargetEntry &,
+                           TargetObservation Observation) override {
+      LastObservation_ = Observation;
+    }
+    std::optional<TargetObservation> LastObservation_;
+  } EvidenceSink_;
+
+  GatewayFront Front_{GatewayDependencies{Context_, Timers_, Core_, Client_,
+                                          Log_, Metrics_, EvidenceSink_,
+                                          GatewayHeaders(), MaxAnswerBytes}};
+  HttpServer Server_{Context_, Front_};
+  std::unique_ptr<ScriptedTarget> Target_;
+  asio::ip::tcp::socket Caller_{Context_};
+  std::string Received_;
+  std::uint64_t TargetStarts_ = 0;
+  std::array<char, 4'096> Buffer_;
+
+  void setup() override {
+    RoutingConfig Config;
+    Config.Version_ = 1;
+    for (const bool Idempotent : {true, false}) {
+      VirtualRoute Route;
+      Route.Host_ = "h.example";
+      Route.Prefix_ = Idempotent ? "/look/" : "/book/";
+      Route.Shares_ = {ServiceShare{ServiceName("desk"), 1}};
+      Route.Kind_ = Idempotent ? RouteKind::Idempotent : RouteKind::AtMostOnce;
+      Route.Timeout_ = std::chrono::milliseconds(600);
+      Route.Objective_ = std::chrono::milliseconds(300);
+      Route.MaxTargets_ = 1;
+      Config.Routes_.push_back(Route);
+    }
+    Core_.setTable(std::make_shared<const RouteTable>(Config));
+    useNewTarget();
+    const bool IsListening = handleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(
+              Server_.listen(Endpoint{"127.0.0.1", FrontPort}, 10));
+          return true;
+        },
+        [](const Failure &) { return false; });
+    CHECK(IsListening);
+  }
+
+  /// Makes the target a new one, about which nothing is known.
+  void useNewTarget() {
+    TargetEntry Entry;
+    Entry.Id_ = TargetId("t0");
+    Entry.Service_ = ServiceName("desk");
+    Entry.Address_ = Endpoint{"127.0.0.1", TargetPort};
+    Entry.Slots_ = 3;
+    Entry.StartedUnixMs_ = ++TargetStarts_;
+    Core_.setTargets({{Entry.Id_, Entry}}, Timers_.now());
+  }
+
+  void teardown() override {
+    Target_.reset();
+    close(DevNull_);
+  }
+
+  void startTarget(ScriptedTarget::Script Script) {
+    Target_ = std::make_unique<ScriptedTarget>(Context_, std::move(Script));
+  }
+
+  void call(const std::string &Bytes) {
+    Caller_.connect(localEndpoint(FrontPort));
+    sendText(Caller_, Bytes);
+    readAnswers();
+  }
+
+  void readAnswers() {
+    Caller_.async_read_some(
+        asio::buffer(Buffer_),
+        [this](const asio::error_code &Error, std::size_t Size) {
+          Received_.append(Buffer_.data(), Size);
+          if (!Error)
+            readAnswers();
+        });
+  }
+
+  static std::string request(const std::string &Path, const std::string &Id,
+                             const std::string &Method = "GET",
+                             const std::string &Body = "") {
+    return Method + " " + Path +
+           " HTTP/1.1\r\nHost: h.example\r\n"
+           "Kumquatpitch-Request-Id: " +
+           Id + "\r\nContent-Length: " + std::to_string(Body.size()) +
+           "\r\n\r\n" + Body;
+  }
+
+  /// Sends two bookings, one after the other. The target answers the first and
+  /// sends `SecondAnswer` for the second, on the same connection, which it then
+  /// ends if `EndsAfter` is set.
+  void bookTwice(const std::string &SecondAnswer, bool EndsAfter = false) {
+    startTarget([SecondAnswer, EndsAfter,
+                 IsFirst = true](ScriptedTarget::Socket &Socket,
+                                 const std::string &Request) mutable {
+      if (!hasCompleteHead(Request))
+        return false;
+      sendText(Socket,
+               IsFirst ? answer(requestIdOf(Request), "first") : SecondAnswer);
+      if (EndsAfter && !IsFirst)
+        Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
+      IsFirst = false;
+      return true;
+    });
+    call(request("/book/1", "id1", "POST"));
+    CHECK(runUntilReceived("first"));
+    sendText(Caller_, request("/book/2", "id2", "POST"));
+  }
+
+  /// Runs until the caller has received `Text`, for at most 1 s.
+  bool runUntilReceived(const std::string &Text) {
+    return runUntil([&] { return Received_.find(Text) != std::string::npos; });
+  }
+
+  bool runUntil(const std::function<bool()> &IsDone) {
+    for (int Step = 0; Step < 200 && !IsDone(); ++Step) {
+      Context_.restart();
+      Context_.run_for(std::chrono::milliseconds(5));
+    }
+    return IsDone();
+  }
+};
+
+} // namespace kumquatpitch::test
+
+#endif
