Compare the request id of an answer that ends with its connection

Cause: handleRead() completed a call at the end of the stream without the comparison that completeOrSkip() makes for an answer with a length.

The class is an answer that is taken for another request's, so the decision is now one function, matchResponse(), that each complete response passes. Two more members were found by looking for it: - A target refuses a request, its caller sends it again under its id, and a late copy of the refusal comes on the same kept connection. The ids are equal. A connection now carries an id only once (CarriedRequestIds, 512 ids at most, so 4 KB), so no response to an earlier attempt can arrive on it. - A head that breaks off inside a value and is followed by another answer is read as one head: own id, foreign body. A response with more than one id is now broken.

Ruled out: a head cut at each byte and closed, with a length, without one and chunked, became 502 before too (GatewayAnswers.HeadsThatBreakOffAreFailures); answers without an id on a connection in use again were failures already.

Four of the five tests of GatewayAnswers fail on: both unframed ones, RequestSentAgainUsesAnotherConnection and AnswersWithSeveralRequestIdsAreFailures.

Responses that are skipped are logged with the request's id (attempt skipped_responses).

--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -8,6 +8,7 @@
 
 #include "kumquatpitch/message-parser.h"
 #include "kumquatpitch/peer-transport.h"
+#include "kumquatpitch/response-match.h"
 #include "kumquatpitch/time-point.h"
 
 #include <asio/io_context.hpp>
@@ -31,8 +32,9 @@
 
 struct CallResult {
   CallEnd End_ = CallEnd::NotConnected;
-  HttpMessage Answer_; ///< The response; set only with Answered.
-  std::string Detail_; ///< What failed, for the log.
+  HttpMessage Answer_;       ///< The response; set only with Answered.
+  std::string Detail_;       ///< What failed, for the log.
+  int SkippedResponses_ = 0; ///< Responses to other requests.
 };
 
 /// The server to call, the timeouts and the limits of one call.
@@ -42,12 +44,10 @@
   Duration Timeout_{}; ///< From the call to the complete response.
   /// A connection is reused only if it has been idle for less than this.
   Duration MaxIdle_{};
-  /// Header in which the response repeats `EchoValue_`. A response with another
-  /// value belongs to an earlier request and is skipped. One without the header
-  /// belongs to no request: the call is broken, unless the connection is new
-  /// and the response is a failure. If the name is empty, nothing is checked.
-  std::string EchoHeader_;
-  std::string EchoValue_;
+  /// Responses to other requests are skipped; one that may belong to any
+  /// request breaks the call. The call is not made on a connection that has
+  /// carried a request with the same id.
+  RequestEcho Echo_;
   std::uint64_t MaxAnswerBytes_ = 0;
 };
 
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -141,8 +141,8 @@
     Terms.MaxIdle_ = Id_.empty()                        ? Duration::zero()
                      : Request_->Route_->isIdempotent() ? MaxIdleIdempotent
                                                         : MaxIdleNonIdempotent;
-    Terms.EchoHeader_ = Id_.empty() ? "" : Dependencies_.Headers_.RequestId_;
-    Terms.EchoValue_ = Id_;
+    if (!Id_.empty())
+      Terms.Echo_ = RequestEcho{Dependencies_.Headers_.RequestId_, Id_};
     Terms.MaxAnswerBytes_ = Dependencies_.MaxAnswerBytes_;
     const std::size_t Index = Attempts_.size();
     Attempts_.push_back(SentAttempt{Attempt, nullptr});
@@ -305,6 +305,10 @@
                      const CallResult &Result) {
     Dependencies_.Metrics_.count(std::string("attempts_") +
                                  attemptOutcomeName(Outcome));
+    if (Result.SkippedResponses_ > 0)
+      logAttempt(Attempt, "skipped_responses",
+                 std::to_string(Result.SkippedResponses_) +
+                     " responses to other requests");
     // The idle connections to this target are probably dead, too.
     if (Outcome == AttemptOutcome::Broken ||
         Outcome == AttemptOutcome::TimedOut ||
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -3,6 +3,7 @@
 
 #include "kumquatpitch/http-client.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
@@ -24,7 +25,7 @@
 constexpr Duration CloseMargin = std::chrono::milliseconds(1'500);
 /// Used if the server states no keep-alive timeout.
 constexpr Duration DefaultReuseTime = std::chrono::seconds(4);
-/// Interim responses and responses to earlier requests that are skipped in one
+/// Interim responses and responses to other requests that are skipped in one
 /// call. A server may send them without end.
 constexpr int MaxSkippedResponses = 16;
 /// TCP_USER_TIMEOUT: the connection is closed if the other end leaves sent
@@ -71,7 +72,9 @@
     HasResponseBytes_ = false;
     IsWritten_ = false;
     IsReused_ = IsOpen_;
-    SkippedResponses_ = 0;
+    InterimResponses_ = 0;
+    OtherResponses_ = 0;
+    CarriedIds_.add(Options.Echo_.Id_);
     const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
     Timer_.expires_after(Options.Timeout_);
     Timer_.async_wait([Self](const asio::error_code &Error) {
@@ -90,13 +93,18 @@
     close();
   }
 
-  /// True if the connection may carry another request now.
+  /// True if the connection has not been idle for too long.
   bool isUsable(Duration MaxIdle) const {
     const std::chrono::steady_clock::duration Idle =
         std::chrono::steady_clock::now() - IdleSince_;
     return IsOpen_ && Idle < std::min(MaxIdle, ReuseTime_);
   }
 
+  /// True if the connection has not carried a request with this id.
+  bool mayCarry(const std::string &RequestId) const {
+    return CarriedIds_.mayCarry(RequestId);
+  }
+
   void close() {
     IsOpen_ = false;
     countBuffered(0);
@@ -188,11 +196,13 @@
       if (Error == asio::error::eof)
         Parser_->finish();
       if (Parser_->state() == MessageParser::State::Complete &&
-          Error == asio::error::eof)
-        return complete(std::string_view());
-      return fail(CallEnd::Broken,
-                  HasResponseBytes_ ? "response truncated: " + Error.message()
-                                    : "no response: " + Error.message());
+          Error == asio::error::eof && completeOrSkip(std::string_view()))
+        return;
+      const std::string Found = OtherResponses_ > 0
+                                    ? "only responses to other requests: "
+                                : HasResponseBytes_ ? "response truncated: "
+                                                    : "no response: ";
+      return fail(CallEnd::Broken, Found + Error.message());
     }
     HasResponseBytes_ = true;
     std::string_view Bytes(Buffer_.data(), Size);
@@ -211,27 +221,25 @@
     read();
   }
 
-  /// Ends the call with the parsed message, or skips an interim response or one
-  /// to an earlier request. True if the call has ended.
+  /// Ends the call with the parsed message, or skips one that is not the
+  /// response to the request. True if the call has ended.
   bool completeOrSkip(std::string_view Rest) {
-    const HttpMessage &Response = Parser_->message();
-    constexpr int FirstFinalStatus = 200;
-    constexpr int FirstFailureStatus = 300;
-    const std::string *EchoedValue =
-        Options_.EchoHeader_.empty() ? &Options_.EchoValue_
-                                     : Response.header(Options_.EchoHeader_);
-    const bool IsInterim = Response.Status_ < FirstFinalStatus;
-    if (!IsInterim && !EchoedValue &&
-        (IsReused_ || Response.Status_ < FirstFailureStatus)) {
-      fail(CallEnd::Broken, "response without the id of its request");
-      return true;
-    }
-    if (!IsInterim && (!EchoedValue || *EchoedValue == Options_.EchoValue_)) {
+    switch (matchResponse(Parser_->message(), Options_.Echo_, IsReused_)) {
+    case ResponseMatch::Own:
       complete(Rest);
       return true;
+    case ResponseMatch::Unattributed:
+      fail(CallEnd::Broken, "response without the id of its request alone");
+      return true;
+    case ResponseMatch::Interim:
+      ++InterimResponses_;
+      break;
+    case ResponseMatch::Other:
+      ++OtherResponses_;
+      break;
     }
-    if (++SkippedResponses_ > MaxSkippedResponses) {
-      fail(CallEnd::Broken, "too many responses to other requests");
+    if (InterimResponses_ + OtherResponses_ > MaxSkippedResponses) {
+      fail(CallEnd::Broken, "too many responses that are not the request's");
       return true;
     }
     Parser_->take();
@@ -246,6 +254,7 @@
   void complete(std::string_view Rest) {
     CallResult Result;
     Result.End_ = CallEnd::Answered;
+    Result.SkippedResponses_ = OtherResponses_;
     Result.Answer_ = Parser_->take();
     countBuffered(0);
     Timer_.cancel();
@@ -253,8 +262,8 @@
     IdleSince_ = std::chrono::steady_clock::now();
     // If the response came before the whole request was written, the connection
     // is still in the middle of the request.
-    const bool IsReusable =
-        IsOpen_ && IsWritten_ && Rest.empty() && Result.Answer_.KeepAlive_;
+    const bool IsReusable = IsOpen_ && IsWritten_ && Rest.empty() &&
+                            Result.Answer_.KeepAlive_ && !CarriedIds_.isFull();
     const HttpClient::Callback OnEnd = std::move(OnEnd_);
     OnEnd_ = nullptr;
     if (IsReusable) {
@@ -272,6 +281,7 @@
     CallResult Result;
     Result.End_ = End;
     Result.Detail_ = Detail;
+    Result.SkippedResponses_ = OtherResponses_;
     const HttpClient::Callback OnEnd = std::move(OnEnd_);
     OnEnd_ = nullptr;
     close();
@@ -295,8 +305,10 @@
   bool IsWritten_ = false; ///< The whole request has been written.
   bool IsReading_ = false;
   bool HasResponseBytes_ = false;
-  bool IsReused_ = false; ///< It has carried another call before.
-  int SkippedResponses_ = 0;
+  bool IsReused_ = false;    ///< It has carried another call before.
+  int InterimResponses_ = 0; ///< Of the call in progress.
+  int OtherResponses_ = 0;   ///< Responses to other requests, likewise.
+  CarriedRequestIds CarriedIds_;
   std::uint64_t CountedBytes_ = 0; ///< Its part of Client_.BufferedBytes_.
 };
 
@@ -311,16 +323,25 @@
       Idle_.find(Options.Endpoint_);
   if (It == Idle_.end())
     return nullptr;
-  std::shared_ptr<HttpClientConnection> Connection;
-  if (!It->second.empty() && It->second.back()->isUsable(Options.MaxIdle_)) {
-    Connection = It->second.back();
-    It->second.pop_back();
-  } else {
+  std::list<std::shared_ptr<HttpClientConnection>> &Connections = It->second;
+  if (!Connections.empty() && !Connections.back()->isUsable(Options.MaxIdle_)) {
     // The most recently used connection has been idle for too long, so all
     // others have too.
-    for (const std::shared_ptr<HttpClientConnection> &Expired : It->second)
+    for (const std::shared_ptr<HttpClientConnection> &Expired : Connections)
       Expired->close();
-    It->second.clear();
+    Connections.clear();
+  }
+  std::shared_ptr<HttpClientConnection> Connection;
+  const std::list<std::shared_ptr<HttpClientConnection>>::reverse_iterator
+      Chosen =
+          std::find_if(Connections.rbegin(), Connections.rend(),
+                       [&](const std::shared_ptr<HttpClientConnection> &Idle) {
+                         return Idle->isUsable(Options.MaxIdle_) &&
+                                Idle->mayCarry(Options.Echo_.Id_);
+                       });
+  if (Chosen != Connections.rend()) {
+    Connection = *Chosen;
+    Connections.erase(std::next(Chosen).base());
   }
   if (It->second.empty())
     Idle_.erase(It);
--- /dev/null
+++ b/test/gateway-answers-test.cc
@@ -0,0 +1,102 @@
+// Tests that a caller gets the whole answer to its own request, from targets
+// that send answers late, twice, without a length or in part.
+
+#include "gateway-front-fixture.h"
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+namespace {
+
+constexpr const char *Signature = "Kumquatpitch-Answer-Signature: s\r\n";
+constexpr const char *NotRun = "Kumquatpitch-Not-Run: 1\r\n";
+constexpr const char *Refused = "HTTP/1.1 503 Service Unavailable\r\n";
+
+std::string idHeader(const std::string &Id) {
+  return "Kumquatpitch-Request-Id: " + Id + "\r\n";
+}
+
+} // namespace
+
+TEST_GROUP_BASE(GatewayAnswers, GatewayFrontFixture){};
+
+// Guards against giving a caller a late copy of the answer to another request
+// that has no length and ends with its connection.
+TEST(GatewayAnswers, UnframedAnswerToAnotherRequestIsNotDelivered) {
+  bookTwice("HTTP/1.1 200 OK\r\n" + idHeader("id1") + Signature + "\r\nfirst",
+            true);
+  Received_.clear();
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(Received_.find("first") == std::string::npos);
+}
+
+// Guards against taking a late copy of another request's refusal that has no
+// length for the refusal of a request that has run.
+TEST(GatewayAnswers, UnframedRefusalOfAnotherRequestDoesNotClaimNotRun) {
+  bookTwice(Refused + idHeader("id1") + NotRun + "\r\n", true);
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+}
+
+// Guards against running a request twice: its caller sends it again under its
+// id after a refusal, and the target sends a late copy of that refusal while it
+// runs the second attempt.
+TEST(GatewayAnswers, RequestSentAgainUsesAnotherConnection) {
+  int Requests = 0;
+  ScriptedTarget::Socket *First = nullptr;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Refusal = Refused + idHeader(requestIdOf(Request)) +
+                                NotRun + "Content-Length: 0\r\n\r\n";
+    ++Requests;
+    First = First ? First : &Socket;
+    sendText(Socket, First == &Socket ? Refusal
+                                      : answer(requestIdOf(Request), "booked"));
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("HTTP/1.1 503"));
+  // The target counts as full for a moment after a refusal.
+  Context_.restart();
+  Context_.run_for(std::chrono::milliseconds(100));
+  sendText(Caller_, request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("booked"));
+  CHECK_EQUAL(2, Requests);
+  CHECK_EQUAL(2, Target_->accepted());
+}
+
+// Guards against joining the head of an answer that broke off with the answer
+// that follows it: the result has the own id and a foreign body.
+TEST(GatewayAnswers, AnswersWithSeveralRequestIdsAreFailures) {
+  bookTwice("HTTP/1.1 200 OK\r\n" + idHeader("id2") + Signature +
+            "Content-Type: te" + answer("id1", "first"));
+  Received_.clear();
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(Received_.find("first") == std::string::npos);
+}
+
+// Guards against completing an answer whose target stopped inside its head and
+// closed the connection.
+TEST(GatewayAnswers, HeadsThatBreakOffAreFailures) {
+  const std::string Start = "HTTP/1.1 200 OK\r\n" + idHeader("id1") + Signature;
+  for (const std::string &Head :
+       {Start + "Content-Length: 0\r\n\r\n", Start + "\r\n",
+        Start + "Transfer-Encoding: chunked\r\n\r\n"})
+    for (std::size_t Size = 0; Size < Head.size(); ++Size) {
+      startTarget(
+          [&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+            if (!hasCompleteHead(Request))
+              return false;
+            sendText(Socket, Head.substr(0, Size));
+            Socket.close();
+            return true;
+          });
+      useNewTarget();
+      Received_.clear();
+      Caller_ = asio::ip::tcp::socket(Context_);
+      call(request("/book/1", "id1", "POST"));
+      CHECK_TEXT(runUntilReceived("HTTP/1.1 502"),
+                 ("cut after " + Head.substr(0, Size)).c_str());
+      Target_.reset();
+    }
+}
