Accept no request behind a connection's last response

Cause: a session decided on its last response when it queued it, but went on accepting requests until that response had been written. Their responses were never queued. It happened in two ways: a request that is read while the last response is still being written, and the second of two requests in one segment whose first is answered at once, inside the parse loop.

Two more members of the class, a request that is accepted or received and that nobody answers: with a full pipeline, input behind it was dropped when the responses of the others were queued; and a request with Expect: 100-continue behind another one was never told to continue.

ConnectionPhase now decides both questions, whether a request is accepted and whether a response is the last one, and it accepts nothing once the last one is queued. Responses that handlers give at once are queued after the input has been parsed, so that the second request of a segment is served and the response to it is the last.

The idle timer runs only while no response is being written. Now that each response sets the timers, it would cut a response that its caller reads slowly; GatewayFront.IdleTimeoutDoesNotCutAResponse fails without that condition. A timer's wait that had ended before the timer was set again no longer counts.

--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -3,6 +3,8 @@
 
 #include "kumquatpitch/http-server.h"
 
+#include "kumquatpitch/connection-phase.h"
+
 #include <array>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -76,7 +78,7 @@
       Response_ = std::move(Response);
       OnCallerGone_ = nullptr;
       if (const std::shared_ptr<HttpSession> Session = Session_.lock())
-        Session->writeReadyResponses();
+        Session->advance();
     }
 
     void onCallerGone(std::function<void()> Callback) override {
@@ -121,24 +123,43 @@
   }
 
   void handleInput(std::string_view Bytes) {
-    if (IsRejected_)
-      return read();
-    if (!Unparsed_.empty())
+    if (Phase_.acceptsRequests())
       Unparsed_.append(Bytes);
-    else
-      Unparsed_.assign(Bytes);
-    parse();
+    advance();
   }
 
-  void parse() {
-    // A handler that answers at once re-enters this function through
-    // writeReadyResponses().
-    if (IsParsing_)
+  /// Accepts the requests that have been received, and writes the responses
+  /// that are ready.
+  void advance() {
+    // A handler that answers at once calls this function again.
+    if (IsAdvancing_ || IsClosed_)
       return;
-    IsParsing_ = true;
+    IsAdvancing_ = true;
+    do {
+      acceptRequests();
+      queueReadyResponses();
+    } while (mayAcceptRequest());
+    IsAdvancing_ = false;
+    if (Parser_.awaitsContinue() && Phase_.acceptsRequests() &&
+        Waiting_.empty() && !SentContinue_)
+      sendContinue();
+    write();
+    updateTimer();
+    // Keep reading while responses are pending, to detect that the caller
+    // disconnects. Stop while the pipeline is full.
+    if (Unparsed_.empty())
+      read();
+  }
+
+  bool mayAcceptRequest() const {
+    return Phase_.acceptsRequests() && !Unparsed_.empty() &&
+           Waiting_.size() < MaxPipelined;
+  }
+
+  void acceptRequests() {
     std::size_t Consumed = 0;
-    while (Consumed < Unparsed_.size() && Waiting_.size() < MaxPipelined &&
-           !IsRejected_ && !AcceptsNoMore_) {
+    while (Consumed < Unparsed_.size() && Phase_.acceptsRequests() &&
+           Waiting_.size() < MaxPipelined) {
       Consumed += Parser_.feed(std::string_view(Unparsed_).substr(Consumed));
       if (Parser_.state() == MessageParser::State::Rejected)
         rejectStream(Parser_.code());
@@ -148,22 +169,15 @@
         break;
     }
     Unparsed_.erase(0, Consumed);
-    IsParsing_ = false;
-    if (Parser_.awaitsContinue() && Waiting_.empty() && !SentContinue_)
-      sendContinue();
-    updateTimer();
-    // Keep reading while responses are pending, to detect that the caller
-    // disconnects. Stop while unparsed bytes are left, that is, when no more
-    // requests are accepted.
-    if (Unparsed_.empty())
-      read();
+    if (!Phase_.acceptsRequests())
+      Unparsed_.clear();
   }
 
   void handleRequest() {
     HttpMessage Request = Parser_.take();
     SentContinue_ = false;
     if (!Request.KeepAlive_)
-      AcceptsNoMore_ = true;
+      Phase_.acceptNoMore();
     const bool HasOneHost = Request.headerCount("Host") == 1;
     const std::shared_ptr<Exchange> NewExchange =
         std::make_shared<Exchange>(weak_from_this(), std::move(Request));
@@ -176,8 +190,7 @@
   }
 
   void rejectStream(ResultCode Code) {
-    IsRejected_ = true;
-    AcceptsNoMore_ = true;
+    Phase_.acceptNoMore();
     const std::shared_ptr<Exchange> Last =
         std::make_shared<Exchange>(weak_from_this(), HttpMessage());
     Waiting_.push_back(Last);
@@ -187,25 +200,18 @@
   void sendContinue() {
     SentContinue_ = true;
     Outgoing_.append("HTTP/1.1 100 Continue\r\n\r\n");
-    write();
   }
 
-  /// Writes the responses at the head of the queue that are ready.
-  void writeReadyResponses() {
-    while (!IsClosed_ && !Waiting_.empty() && Waiting_.front()->response() &&
-           !ClosesAfterWrite_) {
+  /// Queues the responses at the head of the pipeline that are ready.
+  void queueReadyResponses() {
+    while (!Waiting_.empty() && Waiting_.front()->response()) {
       const std::shared_ptr<Exchange> First = Waiting_.front();
       Waiting_.pop_front();
-      const bool IsLast =
-          Waiting_.empty() &&
-          (AcceptsNoMore_ || Server_.IsDraining_ || IsRejected_);
+      const bool IsLast = Phase_.responseQueued(
+          !Waiting_.empty() || !Unparsed_.empty(), Server_.IsDraining_);
       const bool OmitBody = First->request().Method_ == "HEAD";
       Outgoing_.append(writeResponse(*First->response(), IsLast, OmitBody));
-      ClosesAfterWrite_ = IsLast;
     }
-    write();
-    if (!IsClosed_ && !Unparsed_.empty())
-      parse();
   }
 
   void write() {
@@ -236,7 +242,7 @@
       return close();
     if (!Outgoing_.empty())
       return write();
-    if (ClosesAfterWrite_)
+    if (Phase_.isLastQueued())
       return shutdownAndLinger();
     updateTimer();
   }
@@ -246,14 +252,12 @@
   void shutdownAndLinger() {
     asio::error_code Ignored;
     Socket_.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
-    Unparsed_.clear();
-    IsRejected_ = true;
     startTimer(LingerTime);
     read();
   }
 
   void updateTimer() {
-    if (ClosesAfterWrite_ || IsClosed_)
+    if (Phase_.isLastQueued() || IsClosed_)
       return;
     const bool AwaitsRest = Waiting_.empty() && Parser_.hasBegun();
     // A request that has begun has one timeout, which further bytes do not
@@ -261,10 +265,11 @@
     if (AwaitsRest && IsRestTimed_)
       return;
     IsRestTimed_ = AwaitsRest;
-    if (Waiting_.empty())
-      // The timeouts are those of the server's current limits, not Limits_.
-      startTimer(AwaitsRest ? Server_.Limits_.HeadTimeout_
-                            : Server_.Limits_.IdleTimeout_);
+    // The timeouts are those of the server's current limits, not Limits_.
+    if (AwaitsRest)
+      startTimer(Server_.Limits_.HeadTimeout_);
+    else if (Waiting_.empty() && !IsWriting_)
+      startTimer(Server_.Limits_.IdleTimeout_);
     else
       Timer_.cancel();
   }
@@ -273,7 +278,10 @@
     const std::shared_ptr<HttpSession> Self = shared_from_this();
     Timer_.expires_after(Timeout);
     Timer_.async_wait([Self](const asio::error_code &Error) {
-      if (!Error && !Self->IsClosed_)
+      // A wait that had ended before the timer was set again is not cancelled.
+      const bool IsCurrent =
+          Self->Timer_.expiry() <= std::chrono::steady_clock::now();
+      if (!Error && IsCurrent && !Self->IsClosed_)
         Self->timerExpired();
     });
   }
@@ -281,12 +289,12 @@
   void timerExpired() {
     // The timer may have expired just before a request was read;
     // cancelling it then has no effect.
-    if (!Waiting_.empty() && !ClosesAfterWrite_)
+    if (!Waiting_.empty())
       return;
-    if (!ClosesAfterWrite_ && Waiting_.empty() && Parser_.hasBegun() &&
-        !IsRejected_)
+    if (Phase_.acceptsRequests() && Parser_.hasBegun())
       return rejectStream(ResultCode::RequestIncomplete);
-    close();
+    if (!IsWriting_)
+      close();
   }
 
   HttpServer &Server_;
@@ -302,14 +310,11 @@
   std::deque<std::shared_ptr<Exchange>> Waiting_; ///< At most MaxPipelined + 1.
   bool IsReading_ = false;
   bool IsWriting_ = false;
-  bool IsParsing_ = false;
+  bool IsAdvancing_ = false;
   bool IsClosed_ = false;
-  bool IsRejected_ = false;    ///< Further bytes are read and dropped.
-  bool AcceptsNoMore_ = false; ///< The caller asked to close, or sent a
-                               ///< rejected request.
+  ConnectionPhase Phase_;
   bool SentContinue_ = false;
   bool IsRestTimed_ = false; ///< Timer_ runs for the rest of a request.
-  bool ClosesAfterWrite_ = false;
 };
 
 HttpServer::HttpServer(asio::io_context &Context, HttpHandler &Handler)
--- a/test/gateway-front-fixture.h
+++ b/test/gateway-front-fixture.h
@@ -14,8 +14,10 @@
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <deque>
 #include <fcntl.h>
 #include <functional>
+#include <set>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -105,6 +107,10 @@
 }
 
 constexpr std::uint64_t MaxAnswerBytes = 2'000'000;
+/// Responses with bodies of this size exceed the buffers of a connection, so
+/// that the host is still writing them while the caller does not read.
+constexpr std::size_t LargeResponses = 8;
+constexpr std::size_t LargeBodyBytes = 1'900'000;
 
 inline bool hasCompleteHead(const std::string &Request) {
   return Request.find("\r\n\r\n") != std::string::npos;
@@ -138,6 +144,7 @@
   std::unique_ptr<ScriptedTarget> Target_;
   asio::ip::tcp::socket Caller_{Context_};
   std::string Received_;
+  bool IsEnded_ = false; ///< The caller's connection has ended.
   std::uint64_t TargetStarts_ = 0;
   std::array<char, 4'096> Buffer_;
 
@@ -193,11 +200,26 @@
     readAnswers();
   }
 
+  /// Sends `Count` requests and reads nothing yet. Runs long enough for the
+  /// target to answer them all.
+  void callWithoutReading(std::size_t Count) {
+    Caller_.open(asio::ip::tcp::v4());
+    Caller_.set_option(asio::socket_base::receive_buffer_size(4'096));
+    Caller_.connect(localEndpoint(FrontPort));
+    std::string Requests;
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Requests += request("/look/1", "id" + std::to_string(Index));
+    sendText(Caller_, Requests);
+    Context_.restart();
+    Context_.run_for(std::chrono::milliseconds(400));
+  }
+
   void readAnswers() {
     Caller_.async_read_some(
         asio::buffer(Buffer_),
         [this](const asio::error_code &Error, std::size_t Size) {
           Received_.append(Buffer_.data(), Size);
+          IsEnded_ = static_cast<bool>(Error);
           if (!Error)
             readAnswers();
         });
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -301,6 +301,31 @@
   CHECK(runUntilReceived("kept"));
 }
 
+// Guards against cutting off a response, because the idle timeout expires while
+// the caller is still reading it.
+TEST(GatewayFront, IdleTimeoutDoesNotCutAResponse) {
+  std::deque<std::string> Written;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Body = std::string(LargeBodyBytes, 'b') + "end";
+    Written.push_back(answer(requestIdOf(Request), Body));
+    asio::async_write(Socket, asio::buffer(Written.back()),
+                      [](const asio::error_code &, std::size_t) {});
+    return true;
+  });
+  CallerLimits Limits;
+  Limits.IdleTimeout_ = std::chrono::milliseconds(50);
+  Server_.setLimits(Limits);
+  callWithoutReading(LargeResponses);
+  CHECK_EQUAL(LargeResponses, Written.size());
+  readAnswers();
+  CHECK(runUntil([&] {
+    return Received_.size() > LargeResponses * LargeBodyBytes &&
+           Received_.ends_with("end");
+  }));
+}
+
 // Guards against a caller that holds a connection by sending its request a few
 // bytes at a time.
 TEST(GatewayFront, SlowRequestHasOneTimeout) {
