serve: do not claim not-run after an exception in a handler

Found while looking along the callers' side for requests that end without a true answer. LEAF turns an exception into the catch-all failure, and the session and the driver answered that with outcome not-run, also when the request had been sent to a backend server. No caller has reported it.

outcomeOf() now decides in both places: an internal error may come after the request was sent, so its outcome is unknown.

Ruled out: that an exception ends the process.

--- a/include/kumquatpitch/http-message.h
+++ b/include/kumquatpitch/http-message.h
@@ -59,6 +59,11 @@
 std::string serializeResponse(const HttpResponse &Response, bool KeepAlive,
                               bool IsHead);
 
+/// Whether a request that ended in `Cause` may have run. `MayBeResend` is true
+/// if an earlier attempt with the same token may have. An internal error, such
+/// as an exception, can come after the request was sent.
+Outcome outcomeOf(const Failure &Cause, bool MayBeResend);
+
 /// Builds the proxy's own response to a request that failed.
 HttpResponse makeErrorResponse(ResultCode Code, Outcome RequestOutcome,
                                const std::string &Message);
--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -126,8 +126,7 @@
         },
         [&](const Failure &Cause) {
           const HttpResponse Answer = makeErrorResponse(
-              Cause.Code_, MayBeResend ? Outcome::Unknown : Outcome::NotRun,
-              Cause.Message_);
+              Cause.Code_, outcomeOf(Cause, MayBeResend), Cause.Message_);
           asio::post(Self->Strand_,
                      [Self, Bytes = serializeResponse(Answer, false, false)] {
                        Self->write(Bytes, false);
--- a/src/http-message.cc
+++ b/src/http-message.cc
@@ -159,6 +159,12 @@
   return Text;
 }
 
+Outcome outcomeOf(const Failure &Cause, bool MayBeResend) {
+  return MayBeResend || Cause.Code_ == ResultCode::InternalError
+             ? Outcome::Unknown
+             : Outcome::NotRun;
+}
+
 HttpResponse makeErrorResponse(ResultCode Code, Outcome RequestOutcome,
                                const std::string &Message) {
   const std::string CodeText = std::to_string(static_cast<int>(Code));
--- a/src/request-driver.cc
+++ b/src/request-driver.cc
@@ -106,9 +106,8 @@
       [&](const Failure &Cause) {
         const bool MayBeResend =
             findHeader(Request.Headers_, "Kumquatpitch-Token").has_value();
-        return makeErrorResponse(
-            Cause.Code_, MayBeResend ? Outcome::Unknown : Outcome::NotRun,
-            Cause.Message_);
+        return makeErrorResponse(Cause.Code_, outcomeOf(Cause, MayBeResend),
+                                 Cause.Message_);
       });
 }
 
