Answer a request whose handler throws

When a handler threw, its request stayed at the head of the connection's pipeline without a response, and every request behind it waited until its caller gave up. A directory answer that cannot be written (a peer's address that is no UTF-8) was one way to it.

The session answers such a request with reject(InternalError), 500, which promises nothing, and posts the exception to the event loop, which logs it as before (daemon handler_failed).

--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -36,7 +36,9 @@
 public:
   virtual ~HttpHandler() = default;
 
-  /// Handles a complete request; may answer it at any later time.
+  /// Handles a complete request; may answer it at any later time. If it throws,
+  /// the server answers with reject(InternalError) and the exception goes to
+  /// the event loop.
   virtual void handle(std::shared_ptr<HttpExchange> Exchange) = 0;
 
   /// Builds the response to input that is not an acceptable request.
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -6,9 +6,11 @@
 #include "kumquatpitch/connection-phase.h"
 
 #include <array>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <deque>
+#include <exception>
 #include <netinet/tcp.h>
 
 namespace kumquatpitch {
@@ -182,11 +184,19 @@
     const std::shared_ptr<Exchange> NewExchange =
         std::make_shared<Exchange>(weak_from_this(), std::move(Request));
     Waiting_.push_back(NewExchange);
-    if (HasOneHost)
-      Server_.Handler_.handle(NewExchange);
-    else
-      NewExchange->answer(
+    if (!HasOneHost)
+      return NewExchange->answer(
           Server_.Handler_.reject(ResultCode::RequestMalformed));
+    try {
+      Server_.Handler_.handle(NewExchange);
+    } catch (const std::exception &) {
+      // Without a response, the requests behind this one would wait for ever.
+      NewExchange->answer(Server_.Handler_.reject(ResultCode::InternalError));
+      // The event loop reports the exception.
+      asio::post(Server_.Context_, [Cause = std::current_exception()] {
+        std::rethrow_exception(Cause);
+      });
+    }
   }
 
   void rejectStream(ResultCode Code) {
--- /dev/null
+++ b/test/http-server-test.cc
@@ -0,0 +1,133 @@
+// Tests HttpServer over real sockets: each request that it accepts gets its
+// response, in the order of the requests.
+
+#include "kumquatpitch/http-server.h"
+#include "kumquatpitch/run-loop.h"
+
+#include "child-process.h"
+
+#include <array>
+#include <asio/write.hpp>
+#include <functional>
+#include <stdexcept>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+namespace {
+
+HttpMessage textResponse(int Status, const std::string &Text) {
+  HttpMessage Response;
+  Response.Status_ = Status;
+  Response.Body_ = Text;
+  return Response;
+}
+
+/// Answers a request for /later after the next one, throws for /throw, and
+/// answers all others at once with their path.
+class PathHandler : public HttpHandler {
+public:
+  void handle(std::shared_ptr<HttpExchange> Exchange) override {
+    const std::string Path = Exchange->request().Target_;
+    if (Path == "/throw")
+      throw std::runtime_error("handler failed");
+    if (Path == "/later") {
+      Held_ = std::move(Exchange);
+      return;
+    }
+    Exchange->answer(textResponse(200, Path));
+  }
+
+  HttpMessage reject(ResultCode Code) override {
+    return textResponse(httpStatus(Code), resultCodeName(Code));
+  }
+
+  std::shared_ptr<HttpExchange> Held_;
+};
+
+std::string requestFor(const std::string &Path, const std::string &Headers) {
+  return "POST " + Path + " HTTP/1.1\r\nHost: h\r\n" + Headers + "\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(HttpServer) {
+  asio::io_context Context_;
+  PathHandler Handler_;
+  HttpServer Server_{Context_, Handler_};
+  asio::ip::tcp::socket Caller_{Context_};
+  std::array<char, 4'096> Buffer_;
+  std::string Received_;
+  int HandlersFailed_ = 0;
+
+  void setup() override {
+    const std::uint16_t Port =
+        static_cast<std::uint16_t>(kumquatpitch::test::freePort());
+    const bool IsListening = handleFailure(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(Server_.listen(Endpoint{"127.0.0.1", Port}, 10));
+          return true;
+        },
+        [](const Failure &) { return false; });
+    CHECK(IsListening);
+    Caller_.connect({asio::ip::make_address("127.0.0.1"), Port});
+    readResponses();
+  }
+
+  void readResponses() {
+    Caller_.async_read_some(
+        asio::buffer(Buffer_),
+        [this](const asio::error_code &Error, std::size_t Size) {
+          Received_.append(Buffer_.data(), Size);
+          if (!Error)
+            readResponses();
+        });
+  }
+
+  void send(const std::string &Bytes) {
+    asio::write(Caller_, asio::buffer(Bytes));
+  }
+
+  /// Runs until the caller has received `Text`, for at most 1 s.
+  bool runUntilReceived(const std::string &Text) {
+    for (int Step = 0; Step < 200; ++Step) {
+      Context_.restart();
+      try {
+        Context_.run_for(std::chrono::milliseconds(5));
+      } catch (const std::runtime_error &) {
+        ++HandlersFailed_;
+      }
+      if (Received_.find(Text) != std::string::npos)
+        return true;
+    }
+    return false;
+  }
+};
+
+// Guards against a request that is never answered because its handler throws,
+// and against requests behind it that wait for ever.
+TEST(HttpServer, RequestWhoseHandlerThrowsIsAnswered) {
+  send(requestFor("/first", "Content-Length: 0\r\n") +
+       requestFor("/throw", "Content-Length: 0\r\n") +
+       requestFor("/third", "Content-Length: 0\r\n"));
+  CHECK(runUntilReceived("/third"));
+  CHECK(Received_.find("/first") < Received_.find("HTTP/1.1 500"));
+  CHECK(Received_.find("HTTP/1.1 500") < Received_.find("/third"));
+  runUntilReceived("none");
+  CHECK_EQUAL(1, HandlersFailed_);
+}
+
+// Guards against a caller that waits for 100 Continue for ever, because the
+// head came while the request before it had no response yet.
+TEST(HttpServer, ContinueFollowsTheResponseBeforeIt) {
+  send(requestFor("/later", "Content-Length: 0\r\n") +
+       requestFor("/body", "Content-Length: 4\r\nExpect: 100-continue\r\n"));
+  CHECK_FALSE(runUntilReceived("HTTP/1.1"));
+  Handler_.Held_->answer(textResponse(200, "later"));
+  CHECK(runUntilReceived("100 Continue"));
+  CHECK(Received_.find("later") < Received_.find("100 Continue"));
+  send("four");
+  CHECK(runUntilReceived("/body"));
+}
