serve: wait at a planned stop until no connection is busy

The daemon stopped its event loop once the core had no request in progress. A request that waited for a worker was then never admitted, and an answer that was still being written was cut.

The front counts the connections with a request that is handled or an answer that the caller may not have read to its end, and the daemon waits for them until its stop limit.

The wait in the daemon has no test of its own.

--- a/include/kumquatpitch/caller-session.h
+++ b/include/kumquatpitch/caller-session.h
@@ -41,6 +41,8 @@
   void armTimer(std::chrono::milliseconds After);
   void onTimeout();
   void close();
+  /// Sets IsBusy_ and counts the connection in Front_.BusyConnections_.
+  void setBusy(bool IsBusy);
   /// Updates this connection's share of Front_.HeldBytes_.
   void updateHeldBytes();
 
@@ -57,7 +59,8 @@
   std::size_t CountedBytes_ = 0;
   bool IsReading_ = false;
   bool IsHeadParsed_ = false;
-  bool IsBusy_ = false;      ///< A handler runs or an answer is being written.
+  /// A handler runs or an answer is being written; stays set while lingering.
+  bool IsBusy_ = false;
   bool IsLingering_ = false; ///< The last answer is sent; input is discarded.
   bool IsClosed_ = false;
 };
--- a/include/kumquatpitch/http-front.h
+++ b/include/kumquatpitch/http-front.h
@@ -92,6 +92,9 @@
 
   std::size_t connections() const { return Connections_; }
   std::size_t busyWorkers() const { return BusyWorkers_; }
+  /// Connections with a request that is handled, or with an answer that is
+  /// written or that the caller may not have read to its end.
+  std::size_t busyConnections() const { return BusyConnections_; }
 
 private:
   friend class detail::CallerSession;
@@ -112,9 +115,10 @@
   asio::thread_pool Workers_;
   std::vector<std::shared_ptr<Listener>> Listeners_;
   std::atomic<bool> IsStopping_{false};
-  std::atomic<std::size_t> Connections_{0}; ///< At most MaxConnections_.
-  std::atomic<std::size_t> BusyWorkers_{0}; ///< At most MaxWorkers_.
-  std::atomic<std::size_t> HeldBytes_{0};   ///< At most about MaxBufferBytes_.
+  std::atomic<std::size_t> Connections_{0};     ///< At most MaxConnections_.
+  std::atomic<std::size_t> BusyWorkers_{0};     ///< At most MaxWorkers_.
+  std::atomic<std::size_t> BusyConnections_{0}; ///< At most Connections_.
+  std::atomic<std::size_t> HeldBytes_{0}; ///< At most about MaxBufferBytes_.
 };
 
 } // namespace kumquatpitch
--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -19,6 +19,7 @@
 }
 
 CallerSession::~CallerSession() {
+  setBusy(false);
   Front_.HeldBytes_ -= CountedBytes_;
   --Front_.Connections_;
 }
@@ -63,6 +64,14 @@
   advance();
 }
 
+void CallerSession::setBusy(bool IsBusy) {
+  if (IsBusy && !IsBusy_)
+    ++Front_.BusyConnections_;
+  else if (!IsBusy && IsBusy_)
+    --Front_.BusyConnections_;
+  IsBusy_ = IsBusy;
+}
+
 void CallerSession::updateHeldBytes() {
   const std::size_t Held = Framer_.heldBytes() + Output_.size();
   Front_.HeldBytes_ += Held;
@@ -108,7 +117,7 @@
     --Front_.BusyWorkers_;
     return refuse(ResultCode::WorkersBusy, "all workers of the host are busy");
   }
-  IsBusy_ = true;
+  setBusy(true);
   Presence_ = std::make_shared<CallerPresence>();
   asio::post(Front_.Workers_, [Self = shared_from_this(), Head,
                                MayBeResend = Framer_.mayBeResend(),
@@ -150,7 +159,7 @@
 }
 
 void CallerSession::refuse(ResultCode Code, const std::string &Message) {
-  IsBusy_ = true;
+  setBusy(true);
   const Outcome RequestOutcome =
       Framer_.mayBeResend() ? Outcome::Unknown : Outcome::NotRun;
   write(serializeResponse(makeErrorResponse(Code, RequestOutcome, Message),
@@ -180,7 +189,7 @@
   if (!KeepOpen)
     return lingerBeforeClose();
   Output_.clear();
-  IsBusy_ = false;
+  setBusy(false);
   IsHeadParsed_ = false;
   Framer_.next();
   updateHeldBytes();
@@ -219,6 +228,7 @@
   if (IsClosed_)
     return;
   IsClosed_ = true;
+  setBusy(false);
   Timer_.cancel();
   std::error_code Ignored;
   Socket_.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
--- a/src/host-daemon.cc
+++ b/src/host-daemon.cc
@@ -113,8 +113,13 @@
 void HostDaemon::tick(TimePoint Now) {
   Driver_.runOnCore(
       [](HostCore &Core, TimePoint CoreNow) { return Core.tick(CoreNow); });
-  const bool MayStop = Driver_.queryCore(
+  const bool IsCoreDone = Driver_.queryCore(
       [](HostCore &Core, TimePoint CoreNow) { return Core.mayStop(CoreNow); });
+  if (IsCoreDone)
+    Front_.stopAccepting();
+  // The core does not know of requests that wait for a worker, nor of answers
+  // that are being written.
+  const bool MayStop = IsCoreDone && Front_.busyConnections() == 0;
   if (!MayStop && Now < StopDeadline_)
     return;
   if (!MayStop)
--- a/test/http-front-test.cc
+++ b/test/http-front-test.cc
@@ -6,13 +6,10 @@
 #include "child-process.h"
 
 #include <array>
-#include <asio/read_until.hpp>
-#include <asio/streambuf.hpp>
 #include <asio/write.hpp>
-#include <atomic>
+#include <functional>
 #include <stdexcept>
 #include <string>
-#include <thread>
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,7 +17,11 @@
 
 namespace {
 
-/// Throws for /throw and answers all other requests with their path.
+/// More than the buffers of a connection hold.
+constexpr std::size_t LargeBodyBytes = 16 << 20;
+
+/// Throws for /throw, answers /large with LargeBodyBytes, and all other
+/// requests with their path.
 class PathHandler : public CallerHandler {
 public:
   std::uint64_t maxBodyBytes(const CustomerName &, std::string_view,
@@ -32,6 +33,8 @@
                       CallerPresence &) override {
     if (Request.Target_ == "/throw")
       throw std::runtime_error("handler failed");
+    if (Request.Target_ == "/large")
+      return HttpResponse{200, "OK", {}, std::string(LargeBodyBytes, 'b')};
     return HttpResponse{200, "OK", {}, Request.Target_};
   }
 };
@@ -56,27 +59,44 @@
     CHECK(IsListening);
   }
 
-  /// Sends a request and returns what was received within 1 s.
-  std::string call(const std::string &Path) {
+  asio::ip::tcp::socket connect(const std::string &Path) {
     asio::ip::tcp::socket Caller(Context_);
     Caller.connect({asio::ip::make_address("127.0.0.1"), Port_});
     asio::write(Caller,
                 asio::buffer("GET " + Path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
-    std::array<char, 4'096> Buffer;
-    std::string Received;
-    Caller.async_read_some(asio::buffer(Buffer),
-                           [&](const std::error_code &, std::size_t Size) {
-                             Received.assign(Buffer.data(), Size);
+    return Caller;
+  }
+
+  void readInto(asio::ip::tcp::socket & Caller, std::string & Received) {
+    Caller.async_read_some(asio::buffer(Buffer_),
+                           [&](const std::error_code &Error, std::size_t Size) {
+                             Received.append(Buffer_.data(), Size);
+                             if (!Error)
+                               readInto(Caller, Received);
                            });
-    for (int Step = 0; Step < 200 && Received.empty(); ++Step) {
+  }
+
+  /// Runs until `IsDone` returns true, for at most 2 s.
+  bool runUntil(const std::function<bool()> &IsDone) {
+    for (int Step = 0; Step < 400 && !IsDone(); ++Step) {
       Context_.restart();
       Context_.run_for(std::chrono::milliseconds(5));
     }
+    return IsDone();
+  }
+
+  /// Sends a request and returns its response.
+  std::string call(const std::string &Path) {
+    asio::ip::tcp::socket Caller = connect(Path);
+    std::string Received;
+    readInto(Caller, Received);
+    runUntil([&] { return !Received.empty(); });
     Caller.close();
-    Context_.restart();
-    Context_.run_for(std::chrono::milliseconds(5));
+    runUntil([&] { return Front_.connections() == 0; });
     return Received;
   }
+
+  std::array<char, 65'536> Buffer_;
 };
 
 // Guards against a refusal that claims not-run for a request whose handler
@@ -87,3 +107,20 @@
   CHECK(Response.find("not-run") == std::string::npos);
   CHECK(call("/next").find("/next") != std::string::npos);
 }
+
+// Guards against a planned stop that ends the process while an answer is being
+// written: the host waits until no connection is busy.
+TEST(HttpFront, ConnectionIsBusyUntilItsAnswerHasBeenWritten) {
+  asio::ip::tcp::socket Caller = connect("/large");
+  CHECK(runUntil([&] { return Front_.busyConnections() == 1; }));
+  CHECK(runUntil([&] { return Front_.busyWorkers() == 0; }));
+  Front_.stopAccepting();
+  Context_.restart();
+  Context_.run_for(std::chrono::milliseconds(100));
+  CHECK_EQUAL(1, Front_.busyConnections());
+  std::string Received;
+  readInto(Caller, Received);
+  CHECK(runUntil([&] { return Received.size() > LargeBodyBytes; }));
+  Caller.close();
+  CHECK(runUntil([&] { return Front_.busyConnections() == 0; }));
+}
