serve: tell each answer from one to another request

Services with the header pool as before. - A head that breaks off inside a value and is followed by another answer reads as one head, with the own id first and the foreign body. An answer with more than one id is now mismatched.

The attempt's id differs for each attempt, so a request that is sent again is no way here. Heads cut at each byte were broken before and are now tested.

BackendClient.AnswersWithSeveralIdsAreMismatched and RequestDriverWithoutEcho. EachRequestUsesANewConnection fail without the change.

--- a/src/backend-client.cc
+++ b/src/backend-client.cc
@@ -89,6 +89,15 @@
                     "chunked") == 0;
 }
 
+/// True when the answer repeats the attempt's id, and no other. A head that
+/// broke off and was followed by another answer reads as one head with the ids
+/// of both.
+bool isAnswerTo(const AttemptOrder &Order, const httplib::Response &Response) {
+  return Order.EchoHeader_.empty() ||
+         (Response.get_header_value_count(Order.EchoHeader_) == 1 &&
+          Response.get_header_value(Order.EchoHeader_) == Order.WireId_);
+}
+
 HttpResponse makeAnswer(httplib::Response &Response,
                         const std::string &Method) {
   HttpResponse Answer;
@@ -174,12 +183,12 @@
     Result.Report_.End_ = AttemptEnd::NotDelimited;
     return Result;
   }
+  const bool IsOwn = isAnswerTo(Order, Exchange.Response_);
   Result.Answer_ = makeAnswer(Exchange.Response_, Request.Method_);
   Result.Report_.HttpStatus_ = Result.Answer_.Status_;
   Result.Report_.Load_ = reportedLoad(Result.Answer_, Order.LoadHeader_);
   Result.Report_.Draining_ = hasMarker(Result.Answer_, Order.Drain_);
-  if (!Order.EchoHeader_.empty() &&
-      findHeader(Result.Answer_.Headers_, Order.EchoHeader_) != Order.WireId_) {
+  if (!IsOwn) {
     Result.Report_.End_ = AttemptEnd::Mismatched;
     Result.Answer_ = HttpResponse();
     return Result;
--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -172,9 +172,11 @@
   State.IsCancelled_ = false;
   ++State.AttemptCount_;
   // The backend server may be closing a pooled connection. The outcome of a
-  // non-idempotent request sent on it would be unknown.
-  const bool RequiresNewConnection =
-      !State.IsIdempotent_ || Service.wantsNewConnection(Chosen, Now);
+  // non-idempotent request sent on it would be unknown. And without an echoed
+  // id, a late copy of another request's answer could not be told there.
+  const bool RequiresNewConnection = !State.IsIdempotent_ ||
+                                     Service.entry().EchoHeader_.empty() ||
+                                     Service.wantsNewConnection(Chosen, Now);
   Service.attemptStarted(Chosen, State.Attempt_, RequiresNewConnection, Now);
   return makeOrder(State, RequiresNewConnection);
 }
--- /dev/null
+++ b/test/backend-client-test.cc
@@ -0,0 +1,74 @@
+// Tests BackendClient over real sockets against answers that are cut or joined.
+
+#include "kumquatpitch/backend-client.h"
+
+#include "manual-time.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <string>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpitch;
+
+TEST_GROUP(BackendClient) {
+  asio::io_context Context_;
+  asio::ip::tcp::acceptor Server_{Context_,
+                                  {asio::ip::make_address("127.0.0.1"), 0}};
+  test::ManualTimerService Time_;
+  BackendClient Client_{Time_};
+
+  /// Sends one attempt to a server that writes `Answer` and closes.
+  AttemptEnd attempt(const std::string &Answer) {
+    std::thread ServerThread([&] {
+      asio::ip::tcp::socket Connection = Server_.accept();
+      asio::streambuf Request;
+      asio::read_until(Connection, Request, "\r\n\r\n");
+      asio::write(Connection, asio::buffer(Answer));
+    });
+    AttemptOrder Order;
+    Order.WireId_ = "7-1";
+    Order.EchoHeader_ = "X-Attempt";
+    Order.Address_ = Endpoint{"127.0.0.1", Server_.local_endpoint().port()};
+    Order.Deadline_ = Time_.now() + std::chrono::seconds(5);
+    Order.RequiresNewConnection_ = true;
+    Order.MaxAnswerBytes_ = 1'000;
+    AttemptCanceller Canceller;
+    const AttemptResult Result = Client_.run(
+        Order, HttpRequest{"GET", "/a", {{"Host", "h"}}, ""},
+        [] { return true; }, Canceller);
+    ServerThread.join();
+    return Result.Report_.End_;
+  }
+};
+
+TEST(BackendClient, WholeAnswerIsTaken) {
+  CHECK(attempt("HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\nContent-Length: "
+                "2\r\n\r\nok") == AttemptEnd::Answered);
+}
+
+// Guards against completing an answer whose server stopped inside its head and
+// closed the connection.
+TEST(BackendClient, HeadsThatBreakOffAreFailures) {
+  const std::string Start = "HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\n";
+  for (const std::string &Head :
+       {Start + "Content-Length: 0\r\n\r\n",
+        Start + "Transfer-Encoding: chunked\r\n\r\n", Start + "\r\n"})
+    for (std::size_t Size = 0; Size < Head.size(); ++Size)
+      CHECK_TEXT(attempt(Head.substr(0, Size)) == AttemptEnd::Broken,
+                 ("cut after " + Head.substr(0, Size)).c_str());
+}
+
+// Guards against joining the head of an answer that broke off with the answer
+// that follows it: the result has the own id and a foreign body.
+TEST(BackendClient, AnswersWithSeveralIdsAreMismatched) {
+  CHECK(attempt("HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\nContent-Type: te"
+                "HTTP/1.1 200 OK\r\nX-Attempt: 6-9\r\nContent-Length: "
+                "7\r\n\r\nforeign") == AttemptEnd::Mismatched);
+}
--- a/test/request-driver-test.cc
+++ b/test/request-driver-test.cc
@@ -9,6 +9,8 @@
 #include <asio/io_context.hpp>
 #include <atomic>
 #include <httplib.h>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -68,10 +70,11 @@
  "routes":[{"method":"GET","path_prefix":"/lists","idempotent":true},
            {"method":"POST","path_prefix":"/deposits","idempotent":false}]}]})";
 
-std::string serviceEntryText(int Port) {
+/// `EchoField` is the field of the echo header, or empty.
+std::string serviceEntryText(int Port, const std::string &EchoField) {
   return R"({"service":"ledger","customer":"imigongo","version":1,
- "floor_targets":1,"detection_profile":"fast-detection","region":"kigali",
- "echo_header":"X-Attempt","targets":[{"id":"t1","address":"127.0.0.1","port":)" +
+ "floor_targets":1,"detection_profile":"fast-detection","region":"kigali",)" +
+         EchoField + R"("targets":[{"id":"t1","address":"127.0.0.1","port":)" +
          std::to_string(Port) +
          R"(,"failure_domain":"gasabo","slots":8,"connections":400,
  "state":"serving"}]})";
@@ -84,7 +87,7 @@
 
 } // namespace
 
-TEST_GROUP(RequestDriver) {
+TEST_BASE(RequestDriverFixture) {
   httplib::Server Backend_;
   std::thread BackendThread_;
   SilentLogger Log_;
@@ -102,6 +105,12 @@
   std::thread IoThread_;
   int Port_ = 0;
   std::atomic<int> RunCount_{0};
+  std::mutex Mutex_;
+  std::set<int> BackendConnections_; ///< Remote ports; guarded by Mutex_.
+
+  virtual std::string echoField() const {
+    return R"("echo_header":"X-Attempt",)";
+  }
 
   void setup() override {
     const int BackendPort = startBackend();
@@ -140,6 +149,8 @@
                                                 const httplib::Request &Request,
                                                 httplib::Response &Response) {
       ++RunCount_;
+      const std::lock_guard<std::mutex> Lock(Mutex_);
+      BackendConnections_.insert(Request.remote_port);
       Response.set_header("X-Attempt",
                           Request.get_header_value("Kumquatpitch-Attempt-Id"));
       Response.set_content(Request.target + " " + Request.body, "text/plain");
@@ -162,7 +173,7 @@
                std::to_string(Text.size()) + "}";
     };
     Add("contract/imigongo", ContractText);
-    Add("service/ledger", serviceEntryText(BackendPort));
+    Add("service/ledger", serviceEntryText(BackendPort, echoField()));
     Platform_.Values_["manifest"] =
         R"({"format":1,"version":1,"parts":[)" + Parts + "]}";
     Platform_.Values_["hosts"] = HostsText;
@@ -197,8 +208,40 @@
         return;
     }
   }
+
+  /// Sends idempotent requests one after the other and returns the number of
+  /// connections on which the backend server got them.
+  std::size_t connectionsForRequests(int Count) {
+    httplib::Client Client("127.0.0.1", Port_);
+    for (int Request = 0; Request < Count; ++Request) {
+      const httplib::Result Response = Client.Get("/lists/a");
+      CHECK(Response && Response->status == 200);
+    }
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    return BackendConnections_.size();
+  }
 };
 
+TEST_GROUP_BASE(RequestDriver, RequestDriverFixture){};
+
+TEST_GROUP_BASE(RequestDriverWithoutEcho, RequestDriverFixture){
+    std::string echoField() const override{return "";
+}
+}
+;
+
+TEST(RequestDriver, IdempotentRequestsShareAConnection) {
+  const std::size_t Connections = connectionsForRequests(3);
+  CHECK_EQUAL(1, Connections);
+}
+
+// Guards against a late copy of an answer on a connection in use again, where
+// nothing tells to which request it belongs.
+TEST(RequestDriverWithoutEcho, EachRequestUsesANewConnection) {
+  const std::size_t Connections = connectionsForRequests(3);
+  CHECK_EQUAL(3, Connections);
+}
+
 // Guards against data races between callers, workers and the core, and against
 // answers delivered to the wrong caller.
 TEST(RequestDriver, ConcurrentCallersGetTheirOwnAnswers) {
