Split changes of the store by size into datagrams

A message between hosts holds up to ten changes of the store. Entries with long names make it exceed the receiver's buffer of 2,048 bytes, or what a datagram can hold. The receivers then drop it as malformed, see a gap and each read the store themselves. No caller has seen this.

splitStoreChanges() now counts bytes: 1,200 of changes in a message, which fits into one packet.

--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -247,27 +247,40 @@
   return Parts;
 }
 
+/// At least the number of bytes that a change takes in a datagram.
+static std::size_t encodedBytes(const TargetChange &Change) {
+  constexpr std::size_t NumberBytes = 70;
+  const std::size_t IdBytes = Change.Id_.str().size() + NumberBytes;
+  return !Change.Entry_ ? IdBytes
+                        : IdBytes + Change.Entry_->Service_.str().size() +
+                              Change.Entry_->Domain_.str().size() +
+                              Change.Entry_->Address_.Address_.size();
+}
+
 std::vector<StoreChangesMessage>
 splitStoreChanges(const StoreChangesMessage &Message) {
-  // A change takes about 110 bytes, in addition to the head of the message.
-  constexpr std::size_t MaxChanges = 10;
+  // Leaves room for the head of the message in a packet of 1,500 bytes. A
+  // change takes about 110 bytes, one with long names up to 700.
+  constexpr std::size_t MaxChangeBytes = 1'200;
   std::vector<StoreChangesMessage> Parts;
   std::size_t Next = 0;
   do {
     StoreChangesMessage Part = Message;
-    const std::size_t End =
-        std::min(Next + MaxChanges, Message.Targets_.size());
-    Part.Targets_.assign(
-        Message.Targets_.begin() + static_cast<std::ptrdiff_t>(Next),
-        Message.Targets_.begin() + static_cast<std::ptrdiff_t>(End));
+    Part.Targets_.clear();
+    std::size_t Bytes = 0;
+    for (; Next < Message.Targets_.size(); ++Next) {
+      Bytes += encodedBytes(Message.Targets_[Next]);
+      if (Bytes > MaxChangeBytes && !Part.Targets_.empty())
+        break;
+      Part.Targets_.push_back(Message.Targets_[Next]);
+    }
     // Changes are ordered by revision, so the last change of a part gives the
     // revision up to which the part is complete.
     if (!Parts.empty())
       Part.After_ = Parts.back().Revision_;
-    if (End < Message.Targets_.size())
+    if (Next < Message.Targets_.size())
       Part.Revision_ = Part.Targets_.back().Revision_;
     Parts.push_back(std::move(Part));
-    Next = End;
   } while (Next < Message.Targets_.size());
   return Parts;
 }
--- a/test/peer-datagram-test.cc
+++ b/test/peer-datagram-test.cc
@@ -139,6 +139,30 @@
   CHECK_EQUAL(45, Changes);
 }
 
+// Guards against changes that no host gets because one long entry of another
+// writer makes their datagram exceed the receiver's buffer.
+TEST(PeerDatagram, ProgressWithLongNamesFitsIntoDatagrams) {
+  StoreChangesMessage Whole = makeProgress(12);
+  for (TargetChange &Change : Whole.Targets_) {
+    Change.Id_ = TargetId(std::string(190, 'i'));
+    Change.Entry_->Service_ = ServiceName(std::string(200, 's'));
+    Change.Entry_->Domain_ = FailureDomain(std::string(200, 'd'));
+  }
+  std::size_t Changes = 0;
+  for (const StoreChangesMessage &Part : splitStoreChanges(Whole)) {
+    CHECK(encodeDatagram(Part).size() <= MaxDatagramBytes);
+    Changes += Part.Targets_.size();
+  }
+  CHECK_EQUAL(12, Changes);
+}
+
+// Guards against a datagram that exhausts the stack.
+TEST(PeerDatagram, DeeplyNestedDatagramIsRejected) {
+  constexpr std::size_t ReceiveBufferBytes = 2'048;
+  constexpr char ArrayOfOne = static_cast<char>(0x81);
+  CHECK_FALSE(decodeOrNone(std::string(ReceiveBufferBytes, ArrayOfOne)));
+}
+
 TEST(PeerDatagram, FullProbeFitsIntoOneDatagram) {
   ProbeMessage Probe;
   Probe.From_ = Member{HostId("edge-nyarugenge-100"),
