Take no odd entry of another writer for a usable target

Another operator's report: one odd entry among those of the targets ended the machines that read the list, or they stopped following it. Here no process ended and the listing went on: 500,000 nested arrays or objects, numbers that overflow and ports out of range were left out before too, and are now tests. What could happen is that a defective entry was used: - An address that is no IP address, or the unspecified one, was a target. Each request sent there failed to connect; 0.0.0.0 reaches the host itself. - Slots of 4,294,967,299 wrapped around to 3, and a target with millions of slots looked free at any load. - An id with a line break would have ended the header that carries it and begun one of the other writer's choice. Names of any length were kept and sent on.

The decoder checks address, ranges, ids and names, and says why an entry is left out. That was silent; StoreReadLog logs it once for each revision (targets entry_unusable) and takes the other lines about reads from the daemon.

Ruled out by reading: entries of serve, whose documents are checked field by field and which only operators write. Their targets may have host names; that is left as it is.

--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -11,6 +11,7 @@
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/peer-channel.h"
 #include "kumquatpitch/store-follower.h"
+#include "kumquatpitch/store-read-log.h"
 
 #include <array>
 #include <asio/ip/udp.hpp>
@@ -69,6 +70,7 @@
   asio::io_context Context_;
   AsioTimerService Timers_;
   EventLog Log_;
+  StoreReadLog StoreReadLog_{Log_};
   SeededRandom Random_;
   Metrics Metrics_;
   HttpClient TargetClient_;
@@ -97,7 +99,6 @@
   /// older than EvidenceInterval are dropped.
   std::map<TargetId, TimePoint> LastEvidenceAt_;
   std::optional<TimePoint> StopStartedAt_;
-  bool LastStoreReadSucceeded_ = true;
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/published-state.h
+++ b/include/kumquatpitch/published-state.h
@@ -37,6 +37,15 @@
   bool operator==(const TargetChange &) const = default;
 };
 
+/// An entry that does not describe a usable target, and why.
+struct UnusableEntry {
+  TargetId Id_;
+  std::uint64_t Revision_ = 0;
+  std::string Problem_;
+
+  bool operator==(const UnusableEntry &) const = default;
+};
+
 /// A routing configuration and the revision at which it was published.
 struct PublishedConfig {
   std::uint64_t Revision_ = 0;
@@ -53,6 +62,7 @@
   /// The result covers all changes up to this revision.
   std::uint64_t Revision_ = 0;
   std::vector<TargetChange> Targets_;
+  std::vector<UnusableEntry> Unusable_;   ///< Only for the log.
   std::optional<PublishedConfig> Config_; ///< None when unchanged.
 };
 
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -370,17 +370,8 @@
 
 void GatewayDaemon::onReadEnded(const ReadRequest &Order,
                                 const PublishedRead &Read) {
-  const bool IsOk = Read.Status_ == ReadStatus::Ok;
   Metrics_.count(std::string("store_reads_") + readStatusName(Read.Status_));
-  if (IsOk != LastStoreReadSucceeded_ || Order.Kind_ == ReadRequest::Kind::All)
-    Log_.write(IsOk ? LogLevel::Info : LogLevel::Warning, "store",
-               IsOk ? "regained" : "lost",
-               {{"status", readStatusName(Read.Status_)},
-                {"detail", Read.Detail_},
-                {"era", std::to_string(Read.Era_)},
-                {"revision", std::to_string(Read.Revision_)},
-                {"entries", std::to_string(Read.Targets_.size())}});
-  LastStoreReadSucceeded_ = IsOk;
+  StoreReadLog_.write(Read, Order.Kind_ == ReadRequest::Kind::All);
   apply(Follower_.readEnded(Read, Timers_.now()));
 }
 
--- a/src/settings-reader.cc
+++ b/src/settings-reader.cc
@@ -2,7 +2,8 @@
 
 #include "kumquatpitch/settings-reader.h"
 
-#include <arpa/inet.h>
+#include "kumquatpitch/ip-address.h"
+
 #include <charconv>
 #include <ini.h>
 #include <set>
@@ -30,12 +31,6 @@
   return Number;
 }
 
-bool isIpAddress(const std::string &Text) {
-  in6_addr Ignored;
-  return inet_pton(AF_INET, Text.c_str(), &Ignored) == 1 ||
-         inet_pton(AF_INET6, Text.c_str(), &Ignored) == 1;
-}
-
 std::optional<Endpoint> parseEndpoint(const std::string &Text) {
   const std::size_t Colon = Text.rfind(':');
   if (Colon == std::string::npos || !isIpAddress(Text.substr(0, Colon)))
--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -32,11 +32,18 @@
   return Text.replace(Position, From.size(), To);
 }
 
-TEST_GROUP(StoreDecoder){};
+TEST_GROUP(StoreDecoder) {
+  std::string Problem_;
+
+  std::optional<TargetEntry> decode(const std::string &Text,
+                                    const std::string &Id = "i-1") {
+    Problem_.clear();
+    return decodeTarget(TargetId(Id), Text, Problem_);
+  }
+};
 
 TEST(StoreDecoder, TargetIsDecoded) {
-  const std::optional<TargetEntry> Entry =
-      decodeTarget(TargetId("i-1"), TargetText);
+  const std::optional<TargetEntry> Entry = decode(TargetText);
   CHECK(Entry.has_value());
   CHECK(Entry->Id_ == TargetId("i-1"));
   CHECK(Entry->Address_ == (Endpoint{"10.128.0.9", 8'080}));
@@ -45,8 +52,7 @@
   CHECK_EQUAL(1'767'280'437'058U, Entry->StartedUnixMs_);
   CHECK(Entry->ColdFor_ == ms(1'500));
   CHECK_FALSE(Entry->Leaving_);
-  CHECK(decodeTarget(TargetId("i-1"), replaced(TargetText, "ready", "draining"))
-            ->Leaving_);
+  CHECK(decode(replaced(TargetText, "ready", "draining"))->Leaving_);
 }
 
 // Guards against requests being sent to an address that an entry of another
@@ -62,12 +68,69 @@
       {R"("ColdLeftS":1.5)", R"("ColdLeftS":"soon")"},
       {R"(10.128.0.9:8080)", R"(10.128.0.9)"},
       {R"("born":1767280437058)", R"("born":1767280437058.5)"},
-      {R"("Service":"desk")", R"("Service":null)"}};
+      {R"("Service":"desk")", R"("Service":null)"},
+      {R"("Service":"desk")", R"("Service":"de\nsk")"}};
+  for (const std::pair<const char *, const char *> &Defect : Defects) {
+    CHECK_FALSE(
+        decode(replaced(TargetText, Defect.first, Defect.second)).has_value());
+    CHECK_FALSE(Problem_.empty());
+  }
+  CHECK_FALSE(decode("\xff no JSON").has_value());
+}
+
+// Guards against an address that cannot be a server's being used as one: every
+// request to it fails, and the unspecified address reaches this host.
+TEST(StoreDecoder, EntriesWithoutAServersAddressYieldNoTarget) {
+  for (const char *Address :
+       {"desk.example:8080", ":8080", "0.0.0.0:8080", "224.0.0.1:8080",
+        "255.255.255.255:8080", "10.128.0:8080", "10.128.0.9\\u0000a:8080",
+        "::1:8080", "10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1",
+        "10.128.0.9:8080 ", "10.128.0.9:"})
+    CHECK_FALSE_TEXT(
+        decode(replaced(TargetText, "10.128.0.9:8080", Address)).has_value(),
+        Address);
+}
+
+// Guards against numbers that wrap around to usable ones, or make a target look
+// free or newer than any other.
+TEST(StoreDecoder, EntriesWithTooLargeNumbersYieldNoTarget) {
+  const std::pair<const char *, const char *> Defects[] = {
+      {R"("Slots":3)", R"("Slots":4294967299)"},
+      {R"("Slots":3)", R"("Slots":1000000)"},
+      {R"("Slots":3)", R"("Slots":1e999)"},
+      {R"("Slots":3)", R"("Slots":123456789012345678901234567890)"},
+      {R"("Seq":4)", R"("Seq":1e300)"},
+      {R"("ColdLeftS":1.5)", R"("ColdLeftS":1e300)"},
+      {R"("born":1767280437058)", R"("born":18446744073709551615)"}};
   for (const std::pair<const char *, const char *> &Defect : Defects)
-    CHECK_FALSE(decodeTarget(TargetId("i-1"),
-                             replaced(TargetText, Defect.first, Defect.second))
-                    .has_value());
-  CHECK_FALSE(decodeTarget(TargetId("i-1"), "\xff no JSON").has_value());
+    CHECK_FALSE_TEXT(
+        decode(replaced(TargetText, Defect.first, Defect.second)).has_value(),
+        Defect.second);
+}
+
+// Guards against an id that would end the header in which it is sent.
+TEST(StoreDecoder, EntriesWithUnusableIdsYieldNoTarget) {
+  for (const char *Id : {"", "i 1", "i\r\nX: 1", "i\xc3\xa9"})
+    CHECK_FALSE(decode(TargetText, Id).has_value());
+  const std::string LongName =
+      R"("Zone":")" + std::string(300'000, 'z') + R"(")";
+  CHECK_FALSE(
+      decode(replaced(TargetText, R"("Zone":"ikeja")", LongName)).has_value());
+}
+
+// Guards against an entry that exhausts the stack when it is parsed, compared
+// or freed.
+TEST(StoreDecoder, DeeplyNestedEntriesYieldNoTarget) {
+  constexpr std::size_t Depth = 500'000;
+  const std::string Arrays = std::string(Depth, '[') + std::string(Depth, ']');
+  CHECK_FALSE(decode(Arrays).has_value());
+  CHECK_FALSE(decode(std::string(Depth, '[')).has_value());
+  std::string Objects;
+  for (std::size_t Level = 0; Level < Depth; ++Level)
+    Objects += R"({"a":)";
+  CHECK_FALSE(decode(Objects + "1" + std::string(Depth, '}')).has_value());
+  CHECK(decode(replaced(TargetText, "[1]", Arrays)).has_value());
+  CHECK_FALSE(decode(replaced(TargetText, "3", Arrays)).has_value());
 }
 
 TEST(StoreDecoder, ConfigurationIsDecoded) {
@@ -137,6 +200,10 @@
   CHECK_EQUAL(2, Read.Targets_.size());
   CHECK_FALSE(Read.Targets_[0].Entry_.has_value());
   CHECK(Read.Targets_[1].Id_ == TargetId("i-2"));
+  CHECK_EQUAL(1, Read.Unusable_.size());
+  CHECK(Read.Unusable_[0].Id_ == TargetId("i-1"));
+  CHECK_EQUAL(412, Read.Unusable_[0].Revision_);
+  CHECK_FALSE(Read.Unusable_[0].Problem_.empty());
   decodeChanges("{", Read);
   CHECK(Read.Status_ == ReadStatus::Failed);
 }
