Take no answer for complete after the request's write has failed

Cause: the system reports a reset once. When the pending write gets it, the read sees a plain end of the stream, which ends an answer without a length. The write's failure was forgotten.

A connection now remembers it, and such an end is no regular one. An answer that a server ends with a regular close before it has read the whole request is delivered as before.

GatewayAnswers.UnframedAnswerThatIsResetIsAFailure fails without the condition.

--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -71,6 +71,7 @@
     IsSent_ = false;
     HasResponseBytes_ = false;
     IsWritten_ = false;
+    HasWriteFailed_ = false;
     IsReused_ = IsOpen_;
     InterimResponses_ = 0;
     OtherResponses_ = 0;
@@ -164,6 +165,7 @@
                           Self->IsWritten_ = true;
                           return;
                         }
+                        Self->HasWriteFailed_ = true;
                         // The server may have answered before it closed. A
                         // pending read will show this.
                         if (Self->OnEnd_ && !Self->IsReading_)
@@ -193,10 +195,13 @@
       return;
     }
     if (Error) {
-      if (Error == asio::error::eof)
+      // The system reports a reset once: if the write got it, the read sees a
+      // plain end of the stream.
+      const bool IsReset = HasWriteFailed_ || Error != asio::error::eof;
+      if (!IsReset)
         Parser_->finish();
-      if (Parser_->state() == MessageParser::State::Complete &&
-          Error == asio::error::eof && completeOrSkip(std::string_view()))
+      if (Parser_->state() == MessageParser::State::Complete && !IsReset &&
+          completeOrSkip(std::string_view()))
         return;
       const std::string Found = OtherResponses_ > 0
                                     ? "only responses to other requests: "
@@ -303,6 +308,7 @@
   bool IsOpen_ = false;
   bool IsSent_ = false;    ///< Some of the request may have been sent.
   bool IsWritten_ = false; ///< The whole request has been written.
+  bool HasWriteFailed_ = false;
   bool IsReading_ = false;
   bool HasResponseBytes_ = false;
   bool IsReused_ = false;    ///< It has carried another call before.
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -18,7 +18,9 @@
 
 } // namespace
 
-TEST_GROUP_BASE(GatewayAnswers, GatewayFrontFixture){};
+TEST_GROUP_BASE(GatewayAnswers, GatewayFrontFixture) {
+  std::array<char, 4'096> TargetBuffer_;
+};
 
 // Guards against giving a caller a late copy of the answer to another request
 // that has no length and ends with its connection.
@@ -100,3 +102,39 @@
       Target_.reset();
     }
 }
+
+// Guards against completing an answer without a length that is reset on the way
+// while the request's body is still being sent.
+TEST(GatewayAnswers, UnframedAnswerThatIsResetIsAFailure) {
+  // More than the buffers of a connection hold.
+  constexpr std::size_t BodyBytes = 16'000'000;
+  CallerLimits Limits;
+  Limits.MaxBodyBytes_ = BodyBytes;
+  Server_.setLimits(Limits);
+  // Reads the beginning of the request only, and resets the connection once the
+  // host has read the first half of the answer.
+  asio::ip::tcp::acceptor Acceptor(Context_, localEndpoint(TargetPort));
+  asio::ip::tcp::socket Target(Context_);
+  asio::steady_timer Later(Context_);
+  Acceptor.async_accept(Target, [&](const asio::error_code &) {
+    Target.async_read_some(
+        asio::buffer(TargetBuffer_),
+        [&](const asio::error_code &, std::size_t) {
+          sendText(Target, "HTTP/1.1 200 OK\r\n" + idHeader("id1") + Signature +
+                               "\r\nfirst half");
+          Later.expires_after(std::chrono::milliseconds(50));
+          Later.async_wait([&](const asio::error_code &) {
+            Target.set_option(asio::socket_base::linger(true, 0));
+            Target.close();
+          });
+        });
+  });
+  Caller_.connect(localEndpoint(FrontPort));
+  const std::string Request =
+      request("/book/1", "id1", "POST", std::string(BodyBytes, 'x'));
+  asio::async_write(Caller_, asio::buffer(Request),
+                    [](const asio::error_code &, std::size_t) {});
+  readAnswers();
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(Received_.find("first half") == std::string::npos);
+}
