Count responses that are being written as in progress

Cause: the stop waits until requestsInProgress() is 0, which counted requests without a response only.

A connection whose responses are being written, or that lingers after its last one, now counts as one request in progress, until the caller has closed it or the linger time is over. The stop still ends by its timeout; log lines of the stop count these requests too.

GatewayStop.ResponsesThatAreBeingWrittenAreInProgress fails without the change.

--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -68,6 +68,9 @@
   void drain() { IsDraining_ = true; }
 
   std::size_t connections() const { return Sessions_.size(); }
+  /// Requests without a response, and connections whose responses are being
+  /// written or may still be on the way. Until it is 0, ending the process cuts
+  /// responses.
   std::size_t requestsInProgress() const;
 
 private:
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -64,7 +64,11 @@
     Server_.Sessions_.erase(shared_from_this());
   }
 
-  std::size_t requestsInProgress() const { return Waiting_.size(); }
+  /// Requests whose responses the caller may not have received yet. Those that
+  /// are being written count as one.
+  std::size_t requestsInProgress() const {
+    return Waiting_.size() + (IsWriting_ || Phase_.isLastQueued() ? 1 : 0);
+  }
 
 private:
   class Exchange : public HttpExchange {
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -101,3 +101,16 @@
   CHECK_EQUAL(0, Ran_.count("id2"));
   CHECK_EQUAL(1, countResponses(Received_));
 }
+
+// Guards against a planned stop that ends the process while responses are being
+// written: the daemon waits until no request is in progress.
+TEST(GatewayStop, ResponsesThatAreBeingWrittenAreInProgress) {
+  startRecordingTarget(LargeBodyBytes);
+  Server_.drain();
+  callWithoutReading(LargeResponses);
+  CHECK_EQUAL(LargeResponses, Ran_.size());
+  CHECK_EQUAL(1, Server_.requestsInProgress());
+  readAnswers();
+  CHECK(runUntilClosed());
+  CHECK_EQUAL(0, Server_.requestsInProgress());
+}
