Bound the request bodies that a host holds together

Two bodies of 60 MB, within MaxBodyBytes, took a process of 260 MB over its memory.

Cause: a body was held three times, and while it grew up to six times: by the parser, in the message that is forwarded, and in its serialized form. Nothing bounded the sum.

- A forwarded request shares the body of the caller's request (OutgoingRequest), however many attempts send it.
The parser allocates an announced length once.
- BufferBudget bounds the bodies of all connections to half of the host's memory, by announced length.
A request beyond it is refused as soon as its length is known, 503 with the new code 5009 buffers_full and a short Retry-After, as another host can take it.
Requests without a body are not affected.
Chunked bodies count by what is allocated for them.

HttpServer.BodiesBeyondTheMemoryForThemAreRefused and BodyOfACallerThatLeavesIsNoLongerCounted cover the bound; before, there was none.

--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -51,6 +51,13 @@
   std::uint64_t MaxAnswerBytes_ = 0;
 };
 
+/// A serialized request. The body is shared with its owner, so that a long one
+/// is held once, however many attempts send it.
+struct OutgoingRequest {
+  std::string Head_; ///< With the body, if Body_ is null.
+  std::shared_ptr<const std::string> Body_;
+};
+
 class HttpClientConnection;
 
 class HttpClient {
@@ -70,11 +77,11 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /// Sends `Request`, which must be a complete serialized HTTP/1.1 request.
-  /// Unless the call is cancelled, `OnEnd` is called exactly once, after this
-  /// function has returned.
-  std::shared_ptr<Call> call(const CallOptions &Options, std::string Request,
-                             Callback OnEnd);
+  /// Sends `Request`, which must be a complete HTTP/1.1 request. Unless the
+  /// call is cancelled, `OnEnd` is called exactly once, after this function has
+  /// returned.
+  std::shared_ptr<Call> call(const CallOptions &Options,
+                             OutgoingRequest Request, Callback OnEnd);
 
   /// Closes the idle connections to `Server`.
   void closeIdle(const Endpoint &Server);
--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -6,6 +6,7 @@
 #ifndef KUMQUATPITCH_HTTP_SERVER_H
 #define KUMQUATPITCH_HTTP_SERVER_H
 
+#include "kumquatpitch/buffer-budget.h"
 #include "kumquatpitch/message-parser.h"
 #include "kumquatpitch/peer-transport.h"
 #include "kumquatpitch/result.h"
@@ -63,6 +64,14 @@
   /// open ones.
   void setLimits(const CallerLimits &Limits) { Limits_ = Limits; }
 
+  /// Limits the bytes of request bodies that all connections hold together. A
+  /// request whose body would exceed it is refused with BuffersFull, once its
+  /// length is known.
+  void setMaxBufferedBytes(std::uint64_t Limit) { Bodies_.setLimit(Limit); }
+
+  /// Bytes of request bodies that the connections hold.
+  std::uint64_t bufferedBytes() const { return Bodies_.held(); }
+
   /// Closes each connection after its pending responses. An idle connection
   /// stays open until its next response, since a request may be in flight.
   void drain() { IsDraining_ = true; }
@@ -83,6 +92,7 @@
   asio::ip::tcp::acceptor Acceptor_;
   asio::steady_timer RetryTimer_; ///< Delays the next accept after a failure.
   CallerLimits Limits_;
+  BufferBudget Bodies_{64 << 20};
   std::size_t MaxConnections_ = 0;
   bool IsDraining_ = false;
   std::set<std::shared_ptr<HttpSession>>
--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -42,6 +42,9 @@
 /// where a body is allowed. `OmitBody`, for responses to HEAD, drops the body
 /// but not its length.
 std::string writeRequest(const HttpMessage &Message);
+/// The request without its body, which has `BodyBytes`.
+std::string writeRequestHead(const HttpMessage &Message,
+                             std::uint64_t BodyBytes);
 std::string writeResponse(const HttpMessage &Message, bool CloseAfter,
                           bool OmitBody);
 
@@ -69,6 +72,9 @@
   ResultCode code() const { return Code_; }
   /// True if bytes of a message that is not complete have been parsed.
   bool hasBegun() const { return HeadBytes_ > 0 && State_ != State::Complete; }
+  /// Bytes that the parser holds or will hold for the body: the announced
+  /// length, or for chunked coding what is allocated so far.
+  std::uint64_t bodyBytes() const;
   /// True if the request expects `100 Continue` and no body bytes have been
   /// parsed.
   bool awaitsContinue() const;
@@ -98,8 +104,9 @@
   HttpMessage Message_;
   State State_ = State::Head;
   ResultCode Code_ = ResultCode::Ok;
-  std::uint64_t HeadBytes_ = 0; ///< Above 0 once the message has begun.
-  bool LastWasValue_ = false;   ///< The next field name starts a new header.
+  std::uint64_t AnnouncedBytes_ = 0; ///< Content-Length; 0 if there is none.
+  std::uint64_t HeadBytes_ = 0;      ///< Above 0 once the message has begun.
+  bool LastWasValue_ = false; ///< The next field name starts a new header.
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/result-code.h
+++ b/include/kumquatpitch/result-code.h
@@ -60,6 +60,7 @@
   WorkersBusy = 5006,
   RegistryFull = 5007,
   HostLeaving = 5008,
+  BuffersFull = 5009,
   PeerMessageMalformed = 6001,
   PeerVersionUnknown = 6002,
   PeerNotListed = 6003,
--- a/src/burn-rate.cc
+++ b/src/burn-rate.cc
@@ -57,6 +57,7 @@
   case ResultCode::WorkersBusy:
   case ResultCode::RegistryFull:
   case ResultCode::HostLeaving:
+  case ResultCode::BuffersFull:
   case ResultCode::NotReady:
     return BurnCause::Shed;
   case ResultCode::RateExceeded:
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -50,6 +50,8 @@
 /// all together. A target may send bytes without end.
 constexpr std::uint64_t MemoryPerAnswerDivisor = 16;
 constexpr std::uint64_t MemoryForAnswersDivisor = 4;
+/// Part of the host's memory for the bodies of callers' requests, all together.
+constexpr std::uint64_t MemoryForBodiesDivisor = 2;
 /// How long requests that were received when the daemon ends are still handled.
 constexpr Duration FinalRunTime = std::chrono::milliseconds(100);
 
@@ -178,6 +180,8 @@
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
   TargetClient_.setMaxBufferedBytes(Settings_.MemoryBytes_ /
                                     MemoryForAnswersDivisor);
+  FrontServer_.setMaxBufferedBytes(Settings_.MemoryBytes_ /
+                                   MemoryForBodiesDivisor);
 }
 
 GatewayDaemon::~GatewayDaemon() = default;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -23,7 +23,7 @@
 /// interval, because the information about other hosts' load decays over time.
 constexpr Duration ResumePeriod = std::chrono::milliseconds(40);
 /// Short, because the other hosts can serve the request immediately.
-constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(20);
+constexpr Duration OtherHostRetryAfter = std::chrono::milliseconds(20);
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
 
 std::string formatSeconds(Duration Span) {
@@ -148,7 +148,7 @@
     Attempts_.push_back(SentAttempt{Attempt, nullptr});
     const std::shared_ptr<ActiveGatewayRequest> Self = shared_from_this();
     Attempts_[Index].Call_ = Dependencies_.Client_.call(
-        Terms, requestBytes(Attempt.Target_, TimeLeft),
+        Terms, outgoingRequest(Attempt.Target_, TimeLeft),
         [Self, Index](const CallResult &Result) {
           Self->onAttemptEnded(Index, Result);
         });
@@ -160,8 +160,13 @@
     armHedge(Attempt);
   }
 
-  std::string requestBytes(const TargetEntry &Target, Duration TimeLeft) const {
-    HttpMessage Forwarded = Exchange_->request();
+  OutgoingRequest outgoingRequest(const TargetEntry &Target,
+                                  Duration TimeLeft) const {
+    const HttpMessage &Request = Exchange_->request();
+    HttpMessage Forwarded;
+    Forwarded.Method_ = Request.Method_;
+    Forwarded.Target_ = Request.Target_;
+    Forwarded.Headers_ = Request.Headers_;
     std::erase_if(Forwarded.Headers_, [this](const HeaderField &Header) {
       return headerNamesEqual(Header.first,
                               Dependencies_.Headers_.DeadlineMs_) ||
@@ -172,7 +177,9 @@
                                     std::to_string(toMilliseconds(TimeLeft)));
     Forwarded.Headers_.emplace_back(Dependencies_.Headers_.ExpectedTarget_,
                                     Target.Id_.str());
-    return writeRequest(Forwarded);
+    return OutgoingRequest{
+        writeRequestHead(Forwarded, Request.Body_.size()),
+        std::shared_ptr<const std::string>(Exchange_, &Request.Body_)};
   }
 
   void armHedge(const GatewayAttempt &Attempt) {
@@ -498,7 +505,7 @@
     Dependencies_.Metrics_.count("requests_refused_leaving");
     return Exchange->answer(refusalAnswer(GatewayRefusal{
         ResultCode::HostLeaving, httpStatus(ResultCode::HostLeaving),
-        LeavingRetryAfter}));
+        OtherHostRetryAfter}));
   }
   std::make_shared<ActiveGatewayRequest>(*this, std::move(Exchange))->start();
 }
@@ -506,7 +513,11 @@
 HttpMessage GatewayFront::reject(ResultCode Code) {
   Dependencies_.Log_.write(LogLevel::Warning, "request", "rejected",
                            {{"code", resultCodeName(Code)}});
-  return refusalAnswer(GatewayRefusal{Code, httpStatus(Code), std::nullopt});
+  // Another host can take the request at once.
+  const std::optional<Duration> RetryAfter =
+      Code == ResultCode::BuffersFull ? std::optional(OtherHostRetryAfter)
+                                      : std::nullopt;
+  return refusalAnswer(GatewayRefusal{Code, httpStatus(Code), RetryAfter});
 }
 
 } // namespace kumquatpitch
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -60,7 +60,7 @@
 
   const Endpoint &serverEndpoint() const { return ServerEndpoint_; }
 
-  void start(const CallOptions &Options, std::string Request,
+  void start(const CallOptions &Options, OutgoingRequest Request,
              HttpClient::Callback OnEnd) {
     Options_ = Options;
     Request_ = std::move(Request);
@@ -159,8 +159,16 @@
   void send() {
     IsSent_ = true;
     const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
-    asio::async_write(Socket_, asio::buffer(Request_),
-                      [Self](const asio::error_code &Error, std::size_t) {
+    // The handler holds the request until the write has ended, also if the call
+    // ends before.
+    const std::shared_ptr<const OutgoingRequest> Sent =
+        std::make_shared<const OutgoingRequest>(std::move(Request_));
+    Request_ = OutgoingRequest();
+    const std::array<asio::const_buffer, 2> Parts{
+        asio::buffer(Sent->Head_),
+        Sent->Body_ ? asio::buffer(*Sent->Body_) : asio::const_buffer()};
+    asio::async_write(Socket_, Parts,
+                      [Self, Sent](const asio::error_code &Error, std::size_t) {
                         if (!Error) {
                           Self->IsWritten_ = true;
                           return;
@@ -299,7 +307,7 @@
   asio::steady_timer Timer_;
   asio::steady_timer ConnectTimer_;
   CallOptions Options_;
-  std::string Request_;
+  OutgoingRequest Request_;    ///< Empty once it is being sent.
   HttpClient::Callback OnEnd_; ///< Null while idle.
   std::unique_ptr<MessageParser> Parser_;
   std::array<char, ReadBytes> Buffer_;
@@ -355,7 +363,7 @@
 }
 
 std::shared_ptr<HttpClient::Call> HttpClient::call(const CallOptions &Options,
-                                                   std::string Request,
+                                                   OutgoingRequest Request,
                                                    Callback OnEnd) {
   std::shared_ptr<HttpClientConnection> Connection = acquireIdle(Options);
   if (!Connection)
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -57,6 +57,7 @@
     Socket_.close(Ignored);
     Timer_.cancel();
     WriteTimer_.cancel();
+    Server_.Bodies_.resize(HeldBytes_, 0);
     std::deque<std::shared_ptr<Exchange>> Abandoned;
     Abandoned.swap(Waiting_);
     for (const std::shared_ptr<Exchange> &Unanswered : Abandoned)
@@ -169,6 +170,8 @@
       Consumed += Parser_.feed(std::string_view(Unparsed_).substr(Consumed));
       if (Parser_.state() == MessageParser::State::Rejected)
         rejectStream(Parser_.code());
+      else if (!holdBodies())
+        rejectStream(ResultCode::BuffersFull);
       else if (Parser_.state() == MessageParser::State::Complete)
         handleRequest();
       else
@@ -179,6 +182,15 @@
       Unparsed_.clear();
   }
 
+  /// Counts the bodies of this connection's requests. False if there is no
+  /// memory left for the one that is being received.
+  bool holdBodies() {
+    std::uint64_t Bytes = Parser_.bodyBytes();
+    for (const std::shared_ptr<Exchange> &Accepted : Waiting_)
+      Bytes += Accepted->request().Body_.size();
+    return Server_.Bodies_.resize(HeldBytes_, Bytes);
+  }
+
   void handleRequest() {
     HttpMessage Request = Parser_.take();
     SentContinue_ = false;
@@ -205,6 +217,7 @@
 
   void rejectStream(ResultCode Code) {
     Phase_.acceptNoMore();
+    Parser_.take();
     const std::shared_ptr<Exchange> Last =
         std::make_shared<Exchange>(weak_from_this(), HttpMessage());
     Waiting_.push_back(Last);
@@ -226,6 +239,7 @@
       const bool OmitBody = First->request().Method_ == "HEAD";
       Outgoing_.append(writeResponse(*First->response(), IsLast, OmitBody));
     }
+    holdBodies(); // Never more than before.
   }
 
   void write() {
@@ -322,6 +336,7 @@
   std::string Outgoing_;    ///< Queued for the next write.
   std::string WriteBuffer_; ///< Used by the write in progress.
   std::deque<std::shared_ptr<Exchange>> Waiting_; ///< At most MaxPipelined + 1.
+  std::uint64_t HeldBytes_ = 0; ///< Its part of Server_.Bodies_.
   bool IsReading_ = false;
   bool IsWriting_ = false;
   bool IsAdvancing_ = false;
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -41,19 +41,24 @@
   }
 }
 
-std::string writeRequest(const HttpMessage &Message) {
+std::string writeRequestHead(const HttpMessage &Message,
+                             std::uint64_t BodyBytes) {
   std::string Text;
-  Text.reserve(512 + Message.Body_.size());
+  Text.reserve(512);
   Text.append(Message.Method_).append(" ").append(Message.Target_);
   Text.append(" HTTP/1.1\r\n");
   appendHeaders(Message, Text);
   const bool MayHaveBody =
       Message.Method_ != "GET" && Message.Method_ != "HEAD";
-  if (!Message.Body_.empty() || MayHaveBody)
+  if (BodyBytes > 0 || MayHaveBody)
     Text.append("Content-Length: ")
-        .append(std::to_string(Message.Body_.size()))
+        .append(std::to_string(BodyBytes))
         .append("\r\n");
-  return Text.append("\r\n").append(Message.Body_);
+  return Text.append("\r\n");
+}
+
+std::string writeRequest(const HttpMessage &Message) {
+  return writeRequestHead(Message, Message.Body_.size()) + Message.Body_;
 }
 
 std::string writeResponse(const HttpMessage &Message, bool CloseAfter,
@@ -105,6 +110,7 @@
                    Kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   Parser_.data = this;
   Message_ = HttpMessage();
+  AnnouncedBytes_ = 0;
   State_ = State::Head;
   HeadBytes_ = 0;
   LastWasValue_ = false;
@@ -132,6 +138,13 @@
     reject(ResultCode::RequestIncomplete);
 }
 
+std::uint64_t MessageParser::bodyBytes() const {
+  return Message_.Body_.empty()
+             ? AnnouncedBytes_
+             : std::max<std::uint64_t>(AnnouncedBytes_,
+                                       Message_.Body_.capacity());
+}
+
 bool MessageParser::awaitsContinue() const {
   const std::string *Expected = Message_.header("Expect");
   return State_ == State::Body && Message_.Body_.empty() && Expected &&
@@ -197,6 +210,8 @@
   if ((Parser->flags & F_CONTENTLENGTH) != 0 &&
       Parser->content_length > Self.MaxBodyBytes_)
     return Self.reject(ResultCode::RequestBodyTooLarge);
+  if ((Parser->flags & F_CONTENTLENGTH) != 0)
+    Self.AnnouncedBytes_ = Parser->content_length;
   Self.State_ = State::Body;
   return 0;
 }
@@ -206,6 +221,8 @@
   MessageParser &Self = parserOf(Parser);
   if (Self.Message_.Body_.size() + Size > Self.MaxBodyBytes_)
     return Self.reject(ResultCode::RequestBodyTooLarge);
+  // A growing string would hold up to three times the body while it is copied.
+  Self.Message_.Body_.reserve(Self.AnnouncedBytes_);
   Self.Message_.Body_.append(Data, Size);
   return 0;
 }
--- a/src/result-code.cc
+++ b/src/result-code.cc
@@ -54,6 +54,7 @@
     {ResultCode::WorkersBusy, "workers_busy", 503},
     {ResultCode::RegistryFull, "registry_full", 503},
     {ResultCode::HostLeaving, "host_leaving", 503},
+    {ResultCode::BuffersFull, "buffers_full", 503},
     {ResultCode::PeerMessageMalformed, "peer_message_malformed", 500},
     {ResultCode::PeerVersionUnknown, "peer_version_unknown", 500},
     {ResultCode::PeerNotListed, "peer_not_listed", 500},
--- a/test/gateway-soak.cc
+++ b/test/gateway-soak.cc
@@ -311,14 +311,15 @@
     Terms.MaxAnswerBytes_ = 1 << 20;
     if (randomBelow(25) == 0) {
       const std::shared_ptr<HttpClient::Call> Cancelled =
-          Client_.call(Terms, writeRequest(Request), [](const CallResult &) {});
+          Client_.call(Terms, OutgoingRequest{writeRequest(Request), nullptr},
+                       [](const CallResult &) {});
       schedule(0.02, [this, Cancelled] {
         Cancelled->cancel();
         scheduleCall();
       });
       return;
     }
-    Client_.call(Terms, writeRequest(Request),
+    Client_.call(Terms, OutgoingRequest{writeRequest(Request), nullptr},
                  [this, NewCall](const CallResult &Result) {
                    checkResult(NewCall, Result);
                    scheduleCall();
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -60,6 +60,8 @@
   asio::ip::tcp::socket Caller_{Context_};
   std::array<char, 4'096> Buffer_;
   std::string Received_;
+  std::vector<asio::ip::tcp::socket> OtherCallers_;
+  std::uint16_t Port_ = 0;
   int HandlersFailed_ = 0;
 
   void setup() override {
@@ -74,6 +76,17 @@
     CHECK(IsListening);
     Caller_.connect({asio::ip::make_address("127.0.0.1"), Port});
     readResponses();
+    Port_ = Port;
+  }
+
+  /// Sends on a new connection instead of the current one, which stays open.
+  void sendOnNewConnection(const std::string &Bytes) {
+    OtherCallers_.push_back(std::move(Caller_));
+    Caller_ = asio::ip::tcp::socket(Context_);
+    Caller_.connect({asio::ip::make_address("127.0.0.1"), Port_});
+    Received_.clear();
+    readResponses();
+    send(Bytes);
   }
 
   void readResponses() {
@@ -131,3 +144,39 @@
   send("four");
   CHECK(runUntilReceived("/body"));
 }
+
+// Guards against a process that ends because the bodies of several requests,
+// each within its limit, exceed the host's memory together.
+TEST(HttpServer, BodiesBeyondTheMemoryForThemAreRefused) {
+  Server_.setMaxBufferedBytes(1'000);
+  const std::string Body(800, 'b');
+  send(requestFor("/later", "Content-Length: 800\r\n") + Body);
+  CHECK_FALSE(runUntilReceived("HTTP/1.1"));
+  CHECK_EQUAL(800, Server_.bufferedBytes());
+  // Refused as soon as the length is known.
+  sendOnNewConnection(requestFor("/second", "Content-Length: 800\r\n"));
+  CHECK(runUntilReceived("HTTP/1.1 503"));
+  CHECK(Received_.find("buffers_full") != std::string::npos);
+  // Chunked bodies are refused when they exceed it.
+  sendOnNewConnection(requestFor("/third", "Transfer-Encoding: chunked\r\n") +
+                      "320\r\n" + Body);
+  CHECK(runUntilReceived("HTTP/1.1 503"));
+  // Requests without a body are served.
+  sendOnNewConnection(requestFor("/fourth", "Content-Length: 0\r\n"));
+  CHECK(runUntilReceived("/fourth"));
+  Handler_.Held_->answer(textResponse(200, "later"));
+  CHECK_EQUAL(0, Server_.bufferedBytes());
+  sendOnNewConnection(requestFor("/fifth", "Content-Length: 800\r\n") + Body);
+  CHECK(runUntilReceived("/fifth"));
+  CHECK_EQUAL(0, Server_.bufferedBytes());
+}
+
+// Guards against bytes that stay counted after their caller has left.
+TEST(HttpServer, BodyOfACallerThatLeavesIsNoLongerCounted) {
+  send(requestFor("/body", "Content-Length: 800\r\n") + "part");
+  CHECK_FALSE(runUntilReceived("HTTP/1.1"));
+  CHECK_EQUAL(800, Server_.bufferedBytes());
+  Caller_.close();
+  runUntilReceived("none");
+  CHECK_EQUAL(0, Server_.bufferedBytes());
+}
