Replace a connection when an id needs another one

Follows from carrying an id on a connection only once: a caller that sends all of its requests under one id would have opened one more connection with each, up to the target's limit. The new connection now takes the place of the oldest idle one to that target.

GatewayAnswers.RequestsWithOneIdDoNotAddConnections covers it.

--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -356,6 +356,11 @@
   if (Chosen != Connections.rend()) {
     Connection = *Chosen;
     Connections.erase(std::next(Chosen).base());
+  } else if (!Connections.empty()) {
+    // The new connection takes the place of the oldest one. Otherwise a caller
+    // that uses one id for all of its requests would add one with each.
+    Connections.front()->close();
+    Connections.pop_front();
   }
   if (It->second.empty())
     Idle_.erase(It);
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -67,6 +67,27 @@
   CHECK_EQUAL(2, Target_->accepted());
 }
 
+// Guards against a caller that uses up a target's connections by sending all of
+// its requests under one id.
+TEST(GatewayAnswers, RequestsWithOneIdDoNotAddConnections) {
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket, answer(requestIdOf(Request), "body"));
+    return true;
+  });
+  Caller_.connect(localEndpoint(FrontPort));
+  readAnswers();
+  constexpr int Requests = 20;
+  for (int Index = 0; Index < Requests; ++Index) {
+    Received_.clear();
+    sendText(Caller_, request("/look/1", "id1"));
+    CHECK(runUntilReceived("body"));
+  }
+  CHECK_EQUAL(Requests, Target_->accepted());
+  CHECK_EQUAL(1, Client_.idleConnections());
+}
+
 // Guards against joining the head of an answer that broke off with the answer
 // that follows it: the result has the own id and a foreign body.
 TEST(GatewayAnswers, AnswersWithSeveralRequestIdsAreFailures) {
