Comment on how a session accepts requests, and compare outgoing requests

Reading the change as a newcomer would: the function that parses and dispatches had no comment, and the new value type no comparison operator.

--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -56,6 +56,8 @@
 struct OutgoingRequest {
   std::string Head_; ///< With the body, if Body_ is null.
   std::shared_ptr<const std::string> Body_;
+
+  bool operator==(const OutgoingRequest &) const = default;
 };
 
 class HttpClientConnection;
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -163,6 +163,8 @@
            Waiting_.size() < MaxPipelined;
   }
 
+  /// Parses the input and passes complete requests to the handler, as far as
+  /// the pipeline has room.
   void acceptRequests() {
     std::size_t Consumed = 0;
     while (Consumed < Unparsed_.size() && Phase_.acceptsRequests() &&
