Tests: tell the target's connections apart by their number

Cause: the test told the first connection by its socket's address. Since a connection is replaced when an id needs another one, the first is closed before the second is accepted, and the second one's socket took its address; whether it did depended on what ran before. The product had used a second connection. The test now counts accepted connections, and its expectations are as before.

--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -44,16 +44,15 @@
 // runs the second attempt.
 TEST(GatewayAnswers, RequestSentAgainUsesAnotherConnection) {
   int Requests = 0;
-  ScriptedTarget::Socket *First = nullptr;
   startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
     if (!hasCompleteHead(Request))
       return false;
     const std::string Refusal = Refused + idHeader(requestIdOf(Request)) +
                                 NotRun + "Content-Length: 0\r\n\r\n";
     ++Requests;
-    First = First ? First : &Socket;
-    sendText(Socket, First == &Socket ? Refusal
-                                      : answer(requestIdOf(Request), "booked"));
+    sendText(Socket, Target_->accepted() == 1
+                         ? Refusal
+                         : answer(requestIdOf(Request), "booked"));
     return true;
   });
   call(request("/book/1", "id1", "POST"));
