--- a/test/event-log-test.cc
+++ b/test/event-log-test.cc
@@ -1,34 +1,12 @@
 // Tests the format of log lines, the limit of lines per second, and that
 // logging never blocks.
 
-#include "kumquatpitch/event-log.h"
-
-#include "manual-time.h"
-
-#include <array>
-#include <unistd.h>
-
-#include <CppUTest/TestHarness.h>
+#include "log-pipe-fixture.h"
 
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
-TEST_GROUP(EventLog) {
-  ManualTimerService Timers_;
-  std::array<int, 2> Pipe_{};
-
-  void setup() override { CHECK_EQUAL(0, pipe(Pipe_.data())); }
-  void teardown() override {
-    close(Pipe_[0]);
-    close(Pipe_[1]);
-  }
-
-  std::string readOutput() {
-    std::array<char, 200'000> Bytes;
-    const ssize_t Size = read(Pipe_[0], Bytes.data(), Bytes.size());
-    return std::string(Bytes.data(), Size > 0 ? Size : 0);
-  }
-};
+TEST_GROUP_BASE(EventLog, LogPipeFixture){};
 
 TEST(EventLog, ValuesWithSpecialCharactersAreQuoted) {
   EventLog Log(Timers_, Pipe_[1], LogLevel::Info);
--- a/test/store-read-log-test.cc
+++ b/test/store-read-log-test.cc
@@ -2,33 +2,12 @@
 
 #include "kumquatpitch/store-read-log.h"
 
-#include "manual-time.h"
-
-#include <array>
-#include <unistd.h>
-
-#include <CppUTest/TestHarness.h>
+#include "log-pipe-fixture.h"
 
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
-TEST_GROUP(StoreReadLog) {
-  ManualTimerService Timers_;
-  std::array<int, 2> Pipe_{};
-
-  void setup() override { CHECK_EQUAL(0, pipe(Pipe_.data())); }
-  void teardown() override {
-    close(Pipe_[0]);
-    close(Pipe_[1]);
-  }
-
-  std::string readOutput(EventLog & Log) {
-    Log.flush();
-    std::array<char, 16'384> Bytes;
-    const ssize_t Size = read(Pipe_[0], Bytes.data(), Bytes.size());
-    return std::string(Bytes.data(), Size > 0 ? Size : 0);
-  }
-};
+TEST_GROUP_BASE(StoreReadLog, LogPipeFixture){};
 
 // Guards against entries that are left out without a trace, and against a line
 // for each listing.
@@ -40,15 +19,15 @@
   Read.Unusable_ = {
       UnusableEntry{TargetId("odd"), 412, std::string(100'000, 'x')}};
   Reads.write(Read, true);
-  const std::string First = readOutput(Log);
+  const std::string First = flushAndRead(Log);
   CHECK(First.find("warning targets entry_unusable target=odd revision=412") !=
         std::string::npos);
   CHECK(First.size() < 1'000);
   Reads.write(Read, true);
-  CHECK(readOutput(Log).find("entry_unusable") == std::string::npos);
+  CHECK(flushAndRead(Log).find("entry_unusable") == std::string::npos);
   Read.Unusable_[0].Revision_ = 413;
   Reads.write(Read, false);
-  CHECK(readOutput(Log).find("revision=413") != std::string::npos);
+  CHECK(flushAndRead(Log).find("revision=413") != std::string::npos);
 }
 
 TEST(StoreReadLog, LossAndReturnAreLogged) {
@@ -60,7 +39,7 @@
   Reads.write(Read, false);
   Read.Status_ = ReadStatus::Ok;
   Reads.write(Read, false);
-  const std::string Lines = readOutput(Log);
+  const std::string Lines = flushAndRead(Log);
   const std::size_t Lost = Lines.find("store lost status=failed");
   CHECK(Lost != std::string::npos);
   CHECK_EQUAL(std::string::npos, Lines.find("store lost", Lost + 1));
