Tests: wait for large answers instead of a fixed time

Requests could also reach their route's timeout of 600 ms. callWithoutReading() now runs until the host has all answers, on a route with a timeout of 10 s, and the test then runs for longer than the idle timeout before it reads. Checks are as before, and one is added: that the answers came.

--- a/test/gateway-front-fixture.h
+++ b/test/gateway-front-fixture.h
@@ -45,7 +45,8 @@
     accept();
   }
 
-  int accepted() const { return Accepted_; }
+  std::size_t accepted() const { return Accepted_; }
+  std::size_t handled() const { return Handled_; }
   int closed() const { return Closed_; }
 
 private:
@@ -76,8 +77,10 @@
             return;
           }
           Source->Bytes_.append(Source->Buffer_.data(), Size);
-          if (OnRequest_(Source->Socket_, Source->Bytes_))
+          if (OnRequest_(Source->Socket_, Source->Bytes_)) {
             Source->Bytes_.clear();
+            ++Handled_;
+          }
           if (Source->Socket_.is_open())
             read(Source);
         });
@@ -85,7 +88,8 @@
 
   asio::ip::tcp::acceptor Acceptor_;
   Script OnRequest_;
-  int Accepted_ = 0;
+  std::size_t Accepted_ = 0;
+  std::size_t Handled_ = 0;
   int Closed_ = 0;
 };
 
@@ -162,6 +166,10 @@
       Route.MaxTargets_ = 1;
       Config.Routes_.push_back(Route);
     }
+    VirtualRoute Large = Config.Routes_.front();
+    Large.Prefix_ = "/large/";
+    Large.Timeout_ = std::chrono::seconds(10);
+    Config.Routes_.push_back(Large);
     Core_.setTable(std::make_shared<const RouteTable>(Config));
     useNewTarget();
     const bool IsListening = handleFailure(
@@ -200,18 +208,23 @@
     readAnswers();
   }
 
-  /// Sends `Count` requests and reads nothing yet. Runs long enough for the
-  /// target to answer them all.
-  void callWithoutReading(std::size_t Count) {
+  /// Sends `Count` requests and reads nothing yet. Runs until the target has
+  /// got them all and the host has all of its answers, for at most 10 s.
+  bool callWithoutReading(std::size_t Count) {
     Caller_.open(asio::ip::tcp::v4());
     Caller_.set_option(asio::socket_base::receive_buffer_size(4'096));
     Caller_.connect(localEndpoint(FrontPort));
     std::string Requests;
     for (std::size_t Index = 0; Index < Count; ++Index)
-      Requests += request("/look/1", "id" + std::to_string(Index));
+      Requests += request("/large/1", "id" + std::to_string(Index));
     sendText(Caller_, Requests);
-    Context_.restart();
-    Context_.run_for(std::chrono::milliseconds(400));
+    const auto IsAnswered = [&] {
+      return Target_->handled() == Count &&
+             Client_.idleConnections() == Target_->accepted();
+    };
+    for (int Try = 0; Try < 10 && !runUntil(IsAnswered); ++Try) {
+    }
+    return IsAnswered();
   }
 
   void readAnswers() {
--- a/test/gateway-front-test.cc
+++ b/test/gateway-front-test.cc
@@ -317,8 +317,11 @@
   CallerLimits Limits;
   Limits.IdleTimeout_ = std::chrono::milliseconds(50);
   Server_.setLimits(Limits);
-  callWithoutReading(LargeResponses);
+  CHECK(callWithoutReading(LargeResponses));
   CHECK_EQUAL(LargeResponses, Written.size());
+  // Longer than the idle timeout.
+  Context_.restart();
+  Context_.run_for(std::chrono::milliseconds(150));
   readAnswers();
   CHECK(runUntil([&] {
     return Received_.size() > LargeResponses * LargeBodyBytes &&
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -66,7 +66,7 @@
 TEST(GatewayStop, RequestBehindTheLastResponseIsNotPassedOn) {
   startRecordingTarget(LargeBodyBytes);
   Server_.drain();
-  callWithoutReading(LargeResponses);
+  CHECK(callWithoutReading(LargeResponses));
   CHECK_EQUAL(LargeResponses, Ran_.size());
   sendText(Caller_, request("/look/2", "last"));
   runUntil([&] { return Ran_.count("last") != 0; });
@@ -107,7 +107,7 @@
 TEST(GatewayStop, ResponsesThatAreBeingWrittenAreInProgress) {
   startRecordingTarget(LargeBodyBytes);
   Server_.drain();
-  callWithoutReading(LargeResponses);
+  CHECK(callWithoutReading(LargeResponses));
   CHECK_EQUAL(LargeResponses, Ran_.size());
   CHECK_EQUAL(1, Server_.requestsInProgress());
   readAnswers();
