HttpClient: move its connections to a file of their own

The class is declared in a header of its own; no behaviour changes. The unit tests of the group GatewayAnswers pass as before.

--- /dev/null
+++ b/src/http-client-connection.cc
@@ -0,0 +1,286 @@
+// Calls of one connection. See http-client-connection.h.
+
+#include "kumquatpitch/http-client-connection.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace kumquatpitch {
+
+namespace {
+
+constexpr std::uint64_t MaxResponseHeadBytes = 32'768;
+/// A connection is not reused during this last part of the keep-alive timeout
+/// that the server states: the server may close it while a request is in
+/// flight.
+constexpr Duration CloseMargin = std::chrono::milliseconds(1'500);
+/// Used if the server states no keep-alive timeout.
+constexpr Duration DefaultReuseTime = std::chrono::seconds(4);
+/// Interim responses and responses to other requests that are skipped in one
+/// call. A server may send them without end.
+constexpr int MaxSkippedResponses = 16;
+/// TCP_USER_TIMEOUT: the connection is closed if the other end leaves sent
+/// data unacknowledged for this time.
+constexpr int UserTimeoutMs = 3'000;
+
+/// How long a connection may be reused after this response.
+Duration reuseTime(const HttpMessage &Response) {
+  const std::string *KeepAlive = Response.header("Keep-Alive");
+  const std::size_t At =
+      KeepAlive ? KeepAlive->find("timeout=") : std::string::npos;
+  if (At == std::string::npos)
+    return DefaultReuseTime;
+  constexpr std::size_t NameSize = 8;
+  std::int64_t Seconds = 0;
+  std::from_chars(KeepAlive->data() + At + NameSize,
+                  KeepAlive->data() + KeepAlive->size(), Seconds);
+  return std::max(Duration::zero(),
+                  Duration(std::chrono::seconds(Seconds)) - CloseMargin);
+}
+
+} // namespace
+
+HttpClientConnection::HttpClientConnection(HttpClient &Client, Endpoint Server)
+    : Client_(Client), ServerEndpoint_(std::move(Server)),
+      Socket_(Client.Context_), Timer_(Client.Context_),
+      ConnectTimer_(Client.Context_) {}
+
+void HttpClientConnection::start(const CallOptions &Options,
+                                 OutgoingRequest Request,
+                                 HttpClient::Callback OnEnd) {
+  Options_ = Options;
+  Request_ = std::move(Request);
+  OnEnd_ = std::move(OnEnd);
+  Parser_ = std::make_unique<MessageParser>(MessageParser::Kind::Response,
+                                            MaxResponseHeadBytes,
+                                            Options.MaxAnswerBytes_);
+  IsSent_ = false;
+  HasResponseBytes_ = false;
+  IsWritten_ = false;
+  HasWriteFailed_ = false;
+  IsReused_ = IsOpen_;
+  InterimResponses_ = 0;
+  OtherResponses_ = 0;
+  CarriedIds_.add(Options.Echo_.Id_);
+  const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
+  Timer_.expires_after(Options.Timeout_);
+  Timer_.async_wait([Self](const asio::error_code &Error) {
+    if (!Error)
+      Self->fail(Self->IsSent_ ? CallEnd::TimedOut : CallEnd::NotConnected,
+                 "no complete response before the timeout");
+  });
+  if (IsOpen_)
+    send();
+  else
+    connect();
+}
+
+void HttpClientConnection::cancel() {
+  OnEnd_ = nullptr;
+  close();
+}
+
+bool HttpClientConnection::isUsable(Duration MaxIdle) const {
+  const std::chrono::steady_clock::duration Idle =
+      std::chrono::steady_clock::now() - IdleSince_;
+  return IsOpen_ && Idle < std::min(MaxIdle, ReuseTime_);
+}
+
+void HttpClientConnection::close() {
+  IsOpen_ = false;
+  countBuffered(0);
+  asio::error_code Ignored;
+  Socket_.close(Ignored);
+  Timer_.cancel();
+  ConnectTimer_.cancel();
+}
+
+void HttpClientConnection::connect() {
+  const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
+  asio::error_code Error;
+  const asio::ip::tcp::endpoint Address(
+      asio::ip::make_address(ServerEndpoint_.Address_, Error),
+      ServerEndpoint_.Port_);
+  if (Error) {
+    asio::post(Client_.Context_, [Self] {
+      Self->fail(CallEnd::NotConnected,
+                 "the server's address is not an IP address");
+    });
+    return;
+  }
+  ConnectTimer_.expires_after(Options_.ConnectTimeout_);
+  ConnectTimer_.async_wait([Self](const asio::error_code &Cancelled) {
+    if (!Cancelled && !Self->IsOpen_)
+      Self->fail(CallEnd::NotConnected,
+                 "connection not established before the timeout");
+  });
+  Socket_.async_connect(Address, [Self](const asio::error_code &Failed) {
+    if (!Self->OnEnd_)
+      return;
+    Self->ConnectTimer_.cancel();
+    if (Failed)
+      return Self->fail(CallEnd::NotConnected, Failed.message());
+    Self->onConnected();
+  });
+}
+
+void HttpClientConnection::onConnected() {
+  IsOpen_ = true;
+  asio::error_code Ignored;
+  Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  const int Timeout = UserTimeoutMs;
+  setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout,
+             sizeof Timeout);
+  read();
+  send();
+}
+
+void HttpClientConnection::send() {
+  IsSent_ = true;
+  const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
+  // The handler holds the request until the write has ended, also if the call
+  // ends before.
+  const std::shared_ptr<const OutgoingRequest> Sent =
+      std::make_shared<const OutgoingRequest>(std::move(Request_));
+  Request_ = OutgoingRequest();
+  const std::array<asio::const_buffer, 2> Parts{
+      asio::buffer(Sent->Head_),
+      Sent->Body_ ? asio::buffer(*Sent->Body_) : asio::const_buffer()};
+  asio::async_write(Socket_, Parts,
+                    [Self, Sent](const asio::error_code &Error, std::size_t) {
+                      if (!Error) {
+                        Self->IsWritten_ = true;
+                        return;
+                      }
+                      Self->HasWriteFailed_ = true;
+                      // The server may have answered before it closed. A
+                      // pending read will show this.
+                      if (Self->OnEnd_ && !Self->IsReading_)
+                        Self->fail(CallEnd::Broken, Error.message());
+                    });
+}
+
+void HttpClientConnection::read() {
+  if (IsReading_)
+    return;
+  IsReading_ = true;
+  const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
+  Socket_.async_read_some(
+      asio::buffer(Buffer_),
+      [Self](const asio::error_code &Error, std::size_t Size) {
+        Self->IsReading_ = false;
+        Self->handleRead(Error, Size);
+      });
+}
+
+void HttpClientConnection::handleRead(const asio::error_code &Error,
+                                      std::size_t Size) {
+  if (!OnEnd_) {
+    // No response is expected on an idle connection: either the server
+    // closed it, or it sent stray bytes.
+    close();
+    Client_.removeIdle(this);
+    return;
+  }
+  if (Error) {
+    // The system reports a reset once: if the write got it, the read sees a
+    // plain end of the stream.
+    const bool IsReset = HasWriteFailed_ || Error != asio::error::eof;
+    if (!IsReset)
+      Parser_->finish();
+    if (Parser_->state() == MessageParser::State::Complete && !IsReset &&
+        completeOrSkip(std::string_view()))
+      return;
+    const std::string Found = OtherResponses_ > 0
+                                  ? "only responses to other requests: "
+                              : HasResponseBytes_ ? "response truncated: "
+                                                  : "no response: ";
+    return fail(CallEnd::Broken, Found + Error.message());
+  }
+  HasResponseBytes_ = true;
+  std::string_view Bytes(Buffer_.data(), Size);
+  while (!Bytes.empty()) {
+    Bytes.remove_prefix(Parser_->feed(Bytes));
+    if (Parser_->state() == MessageParser::State::Rejected)
+      return fail(CallEnd::Broken, "response is not valid HTTP or too large");
+    countBuffered(Parser_->message().Body_.size());
+    if (Client_.BufferedBytes_ > Client_.MaxBufferedBytes_)
+      return fail(CallEnd::Broken, "no memory left for responses in progress");
+    if (Parser_->state() == MessageParser::State::Complete &&
+        completeOrSkip(Bytes))
+      return;
+  }
+  read();
+}
+
+/// Ends the call with the parsed message, or skips one that is not the
+/// response to the request. True if the call has ended.
+bool HttpClientConnection::completeOrSkip(std::string_view Rest) {
+  switch (matchResponse(Parser_->message(), Options_.Echo_, IsReused_)) {
+  case ResponseMatch::Own:
+    complete(Rest);
+    return true;
+  case ResponseMatch::Unattributed:
+    fail(CallEnd::Broken, "response without the id of its request alone");
+    return true;
+  case ResponseMatch::Interim:
+    ++InterimResponses_;
+    break;
+  case ResponseMatch::Other:
+    ++OtherResponses_;
+    break;
+  }
+  if (InterimResponses_ + OtherResponses_ > MaxSkippedResponses) {
+    fail(CallEnd::Broken, "too many responses that are not the request's");
+    return true;
+  }
+  Parser_->take();
+  return false;
+}
+
+void HttpClientConnection::countBuffered(std::uint64_t Bytes) {
+  Client_.BufferedBytes_ += Bytes - CountedBytes_;
+  CountedBytes_ = Bytes;
+}
+
+void HttpClientConnection::complete(std::string_view Rest) {
+  CallResult Result;
+  Result.End_ = CallEnd::Answered;
+  Result.SkippedResponses_ = OtherResponses_;
+  Result.Answer_ = Parser_->take();
+  countBuffered(0);
+  Timer_.cancel();
+  ReuseTime_ = reuseTime(Result.Answer_);
+  IdleSince_ = std::chrono::steady_clock::now();
+  // If the response came before the whole request was written, the connection
+  // is still in the middle of the request.
+  const bool IsReusable = IsOpen_ && IsWritten_ && Rest.empty() &&
+                          Result.Answer_.KeepAlive_ && !CarriedIds_.isFull();
+  const HttpClient::Callback OnEnd = std::move(OnEnd_);
+  OnEnd_ = nullptr;
+  if (IsReusable) {
+    Client_.addIdle(shared_from_this());
+    read();
+  } else {
+    close();
+  }
+  OnEnd(std::move(Result));
+}
+
+void HttpClientConnection::fail(CallEnd End, const std::string &Detail) {
+  if (!OnEnd_)
+    return;
+  CallResult Result;
+  Result.End_ = End;
+  Result.Detail_ = Detail;
+  Result.SkippedResponses_ = OtherResponses_;
+  const HttpClient::Callback OnEnd = std::move(OnEnd_);
+  OnEnd_ = nullptr;
+  close();
+  OnEnd(std::move(Result));
+}
+
+} // namespace kumquatpitch
