HttpClient: an early end of an answer is whole only without a reset

Cause: the client remembered only whether its write had failed by the time the read saw the end. If the end comes before the reset, the write is still pending.

The end now completes an answer without a length only if no call has failed, the connection itself is not in the state after a reset, and the server's system has acknowledged the request. Which call the kernel gave the error to no longer matters. Until the request is acknowledged the answer waits, so that a server which answers early and reads on is still delivered.

Ruled out: an error that both calls miss. Asio performs the write before the read when the kernel reports a reset, and the handlers keep this order.

Before: two of the new tests of GatewayAnswers failed, with the first half delivered as 200. After: all pass, three times in a row.

--- a/include/kumquatpitch/http-client-connection.h
+++ b/include/kumquatpitch/http-client-connection.h
@@ -46,6 +46,7 @@
   void send();
   void read();
   void handleRead(const asio::error_code &Error, std::size_t Size);
+  void handleEnd(const asio::error_code &Error);
   bool completeOrSkip(std::string_view Rest);
   void countBuffered(std::uint64_t Bytes);
   void complete(std::string_view Rest);
@@ -56,6 +57,7 @@
   asio::ip::tcp::socket Socket_;
   asio::steady_timer Timer_;
   asio::steady_timer ConnectTimer_;
+  asio::steady_timer EndTimer_; ///< Runs after the server has ended its side.
   CallOptions Options_;
   OutgoingRequest Request_;    ///< Empty once it is being sent.
   HttpClient::Callback OnEnd_; ///< Null while idle.
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/http-client-connection.h"
 
+#include "kumquatpitch/socket-state.h"
+
 #include <algorithm>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
@@ -22,6 +24,9 @@
 /// Interim responses and responses to other requests that are skipped in one
 /// call. A server may send them without end.
 constexpr int MaxSkippedResponses = 16;
+/// How often a connection that the server has ended is checked for the delivery
+/// of the request, which the system does not report.
+constexpr Duration EndCheckPeriod = std::chrono::milliseconds(5);
 /// TCP_USER_TIMEOUT: the connection is closed if the other end leaves sent
 /// data unacknowledged for this time.
 constexpr int UserTimeoutMs = 3'000;
@@ -46,7 +51,7 @@
 HttpClientConnection::HttpClientConnection(HttpClient &Client, Endpoint Server)
     : Client_(Client), ServerEndpoint_(std::move(Server)),
       Socket_(Client.Context_), Timer_(Client.Context_),
-      ConnectTimer_(Client.Context_) {}
+      ConnectTimer_(Client.Context_), EndTimer_(Client.Context_) {}
 
 void HttpClientConnection::start(const CallOptions &Options,
                                  OutgoingRequest Request,
@@ -96,6 +101,7 @@
   Socket_.close(Ignored);
   Timer_.cancel();
   ConnectTimer_.cancel();
+  EndTimer_.cancel();
 }
 
 void HttpClientConnection::connect() {
@@ -185,21 +191,8 @@
     Client_.removeIdle(this);
     return;
   }
-  if (Error) {
-    // The system reports a reset once: if the write got it, the read sees a
-    // plain end of the stream.
-    const bool IsReset = HasWriteFailed_ || Error != asio::error::eof;
-    if (!IsReset)
-      Parser_->finish();
-    if (Parser_->state() == MessageParser::State::Complete && !IsReset &&
-        completeOrSkip(std::string_view()))
-      return;
-    const std::string Found = OtherResponses_ > 0
-                                  ? "only responses to other requests: "
-                              : HasResponseBytes_ ? "response truncated: "
-                                                  : "no response: ";
-    return fail(CallEnd::Broken, Found + Error.message());
-  }
+  if (Error)
+    return handleEnd(Error);
   HasResponseBytes_ = true;
   std::string_view Bytes(Buffer_.data(), Size);
   while (!Bytes.empty()) {
@@ -216,6 +209,38 @@
   read();
 }
 
+/// Handles the end of the server's side. It completes an answer without a
+/// length once the server has got the whole request. Until then the server's
+/// process may have ended in the middle of both, and the reset that shows this
+/// may come after the end.
+void HttpClientConnection::handleEnd(const asio::error_code &Error) {
+  const bool IsReset = HasWriteFailed_ || Error != asio::error::eof ||
+                       isConnectionReset(Socket_.native_handle());
+  if (!IsReset)
+    Parser_->finish();
+  const bool IsComplete =
+      !IsReset && Parser_->state() == MessageParser::State::Complete;
+  const bool IsDelivered =
+      IsWritten_ && unacknowledgedBytes(Socket_.native_handle()) == 0;
+  if (IsComplete && !IsDelivered) {
+    const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
+    EndTimer_.expires_after(EndCheckPeriod);
+    EndTimer_.async_wait([Self, Error](const asio::error_code &Cancelled) {
+      if (!Cancelled && Self->OnEnd_)
+        Self->handleEnd(Error);
+    });
+    return;
+  }
+  if (IsComplete && completeOrSkip(std::string_view()))
+    return;
+  const std::string Found = OtherResponses_ > 0
+                                ? "only responses to other requests: "
+                            : HasResponseBytes_ ? "response truncated: "
+                                                : "no response: ";
+  fail(CallEnd::Broken,
+       Found + (IsReset ? "connection reset" : Error.message()));
+}
+
 /// Ends the call with the parsed message, or skips one that is not the
 /// response to the request. True if the call has ended.
 bool HttpClientConnection::completeOrSkip(std::string_view Rest) {
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -19,7 +19,53 @@
 } // namespace
 
 TEST_GROUP_BASE(GatewayAnswers, GatewayFrontFixture) {
+  /// More than the buffers of a connection hold.
+  static constexpr std::size_t LongBodyBytes = 16'000'000;
+
   std::array<char, 4'096> TargetBuffer_;
+  asio::ip::tcp::acceptor EarlyAcceptor_{Context_};
+  asio::ip::tcp::socket EarlyTarget_{Context_};
+  asio::steady_timer ResetTimer_{Context_};
+  std::string Booking_;
+
+  /// Books with a body that the target does not read: it reads the beginning of
+  /// the request, sends part of an answer without a length and calls
+  /// `OnAnswered`.
+  void bookWithUnreadBody(std::size_t BodyBytes,
+                          const std::function<void()> &OnAnswered) {
+    CallerLimits Limits;
+    Limits.MaxBodyBytes_ = BodyBytes;
+    Server_.setLimits(Limits);
+    EarlyAcceptor_.open(asio::ip::tcp::v4());
+    EarlyAcceptor_.set_option(asio::socket_base::reuse_address(true));
+    EarlyAcceptor_.set_option(asio::socket_base::receive_buffer_size(4'096));
+    EarlyAcceptor_.bind(localEndpoint(TargetPort));
+    EarlyAcceptor_.listen();
+    EarlyAcceptor_.async_accept(
+        EarlyTarget_, [this, OnAnswered](const asio::error_code &) {
+          EarlyTarget_.async_read_some(
+              asio::buffer(TargetBuffer_),
+              [this, OnAnswered](const asio::error_code &, std::size_t) {
+                sendText(EarlyTarget_, "HTTP/1.1 200 OK\r\n" + idHeader("id1") +
+                                           Signature + "\r\nfirst half");
+                OnAnswered();
+              });
+        });
+    Caller_.connect(localEndpoint(FrontPort));
+    Booking_ = request("/book/1", "id1", "POST", std::string(BodyBytes, 'x'));
+    asio::async_write(Caller_, asio::buffer(Booking_),
+                      [](const asio::error_code &, std::size_t) {});
+    readAnswers();
+  }
+
+  /// Resets the target's connection once the host has read the answer.
+  void resetLater() {
+    ResetTimer_.expires_after(std::chrono::milliseconds(50));
+    ResetTimer_.async_wait([this](const asio::error_code &) {
+      EarlyTarget_.set_option(asio::socket_base::linger(true, 0));
+      EarlyTarget_.close();
+    });
+  }
 };
 
 // Guards against giving a caller a late copy of the answer to another request
@@ -126,35 +172,52 @@
 // Guards against completing an answer without a length that is reset on the way
 // while the request's body is still being sent.
 TEST(GatewayAnswers, UnframedAnswerThatIsResetIsAFailure) {
-  // More than the buffers of a connection hold.
-  constexpr std::size_t BodyBytes = 16'000'000;
-  CallerLimits Limits;
-  Limits.MaxBodyBytes_ = BodyBytes;
-  Server_.setLimits(Limits);
-  // Reads the beginning of the request only, and resets the connection once the
-  // host has read the first half of the answer.
-  asio::ip::tcp::acceptor Acceptor(Context_, localEndpoint(TargetPort));
-  asio::ip::tcp::socket Target(Context_);
-  asio::steady_timer Later(Context_);
-  Acceptor.async_accept(Target, [&](const asio::error_code &) {
-    Target.async_read_some(
-        asio::buffer(TargetBuffer_),
-        [&](const asio::error_code &, std::size_t) {
-          sendText(Target, "HTTP/1.1 200 OK\r\n" + idHeader("id1") + Signature +
-                               "\r\nfirst half");
-          Later.expires_after(std::chrono::milliseconds(50));
-          Later.async_wait([&](const asio::error_code &) {
-            Target.set_option(asio::socket_base::linger(true, 0));
-            Target.close();
-          });
-        });
+  bookWithUnreadBody(LongBodyBytes, [this] { resetLater(); });
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(Received_.find("first half") == std::string::npos);
+}
+
+// Guards against taking the end of an answer for an orderly one when the target
+// ends its side while the request's body is being sent, and resets then.
+TEST(GatewayAnswers, UnframedAnswerThatEndsAndIsResetIsAFailure) {
+  bookWithUnreadBody(LongBodyBytes, [this] {
+    EarlyTarget_.shutdown(asio::ip::tcp::socket::shutdown_send);
+    resetLater();
+  });
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(Received_.find("first half") == std::string::npos);
+}
+
+// The same with a body that fits into the host's socket buffer: the host has
+// written it, but the target has not got it.
+TEST(GatewayAnswers, UnframedAnswerIsAFailureWhenTheRequestIsNotDelivered) {
+  constexpr std::size_t BodyBytes = 200'000;
+  bookWithUnreadBody(BodyBytes, [this] {
+    EarlyTarget_.shutdown(asio::ip::tcp::socket::shutdown_send);
+    resetLater();
   });
-  Caller_.connect(localEndpoint(FrontPort));
-  const std::string Request =
-      request("/book/1", "id1", "POST", std::string(BodyBytes, 'x'));
-  asio::async_write(Caller_, asio::buffer(Request),
-                    [](const asio::error_code &, std::size_t) {});
-  readAnswers();
   CHECK(runUntilReceived("HTTP/1.1 502"));
   CHECK(Received_.find("first half") == std::string::npos);
 }
+
+// A target may answer before it has read the request, and read on.
+TEST(GatewayAnswers, UnframedAnswerIsDeliveredWhenTheTargetReadsOn) {
+  std::size_t ReadBytes = 0;
+  std::function<void()> ReadOn = [&] {
+    EarlyTarget_.async_read_some(
+        asio::buffer(TargetBuffer_),
+        [&](const asio::error_code &Error, std::size_t Size) {
+          ReadBytes += Size;
+          if (!Error)
+            ReadOn();
+        });
+  };
+  bookWithUnreadBody(LongBodyBytes, [&] {
+    EarlyTarget_.shutdown(asio::ip::tcp::socket::shutdown_send);
+    ReadOn();
+  });
+  CHECK(runUntilReceived("first half"));
+  CHECK(Received_.find("HTTP/1.1 200") == 0);
+  // Its first read got a part of the request as well.
+  CHECK(ReadBytes + TargetBuffer_.size() >= LongBodyBytes);
+}
