Gateway: log and count how the end of an answer was told

Each answer is now counted by framing (answers_length, answers_chunked, answers_until_close, answers_early). A success writes a line with its target, framing and bytes for at most ten requests a second, and always if its answer had no length, came before the request was written, or followed one that broke off. Lines left out by the sample are not counted as dropped.

--- a/include/kumquatpitch/event-log.h
+++ b/include/kumquatpitch/event-log.h
@@ -32,6 +32,10 @@
   void write(LogLevel Level, const char *Component, const char *Event,
              std::initializer_list<LogField> Fields);
 
+  /// True for MaxSampledLines calls a second. For lines about routine events,
+  /// of which a sample is enough; the others are not counted as dropped.
+  bool admitSampledLine();
+
   /// Writes as much of the buffer as the output accepts without blocking.
   void flush();
 
@@ -42,9 +46,11 @@
   /// of all other levels.
   static constexpr std::uint32_t MaxInfoLines = 60;
   static constexpr std::uint32_t MaxOtherLines = 120;
+  static constexpr std::uint32_t MaxSampledLines = 10;
   static constexpr std::size_t MaxBufferBytes = 65'536;
   static constexpr Duration FlushPeriod = std::chrono::milliseconds(250);
 
+  void updateWindow(TimePoint Now);
   bool admitLine(LogLevel Level, TimePoint Now);
   void append(LogLevel Level, const char *Component, const char *Event,
               std::initializer_list<LogField> Fields);
@@ -57,6 +63,7 @@
   TimePoint WindowStart_;
   std::uint32_t InfoLines_ = 0;
   std::uint32_t OtherLines_ = 0;
+  std::uint32_t SampledLines_ = 0;
   /// Lines dropped since the last `lines_left_out` line.
   std::uint64_t DroppedSinceReport_ = 0;
   std::uint64_t DroppedTotal_ = 0;
--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -35,6 +35,7 @@
   HttpMessage Answer_;       ///< The response; set only with Answered.
   std::string Detail_;       ///< What failed, for the log.
   int SkippedResponses_ = 0; ///< Responses to other requests.
+  bool IsEarly_ = false;     ///< Answered before the whole request was written.
   int CutResponses_ = 0;     ///< Responses that a second one interrupted.
 };
 
--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -34,6 +34,17 @@
   std::size_t headerCount(std::string_view Name) const;
 };
 
+/// How the end of a response's body is told.
+enum class BodyFraming : std::uint8_t {
+  Length,     ///< By its length, also if it can have no body.
+  Chunked,    ///< By the last chunk.
+  UntilClose, ///< By the end of the connection.
+};
+
+BodyFraming bodyFraming(const HttpMessage &Response);
+/// Name of a framing for logs and counters, such as `until_close`.
+const char *bodyFramingName(BodyFraming Framing);
+
 /// True if two header names are equal, ignoring case.
 bool headerNamesEqual(std::string_view Left, std::string_view Right);
 
--- a/src/event-log.cc
+++ b/src/event-log.cc
@@ -65,12 +65,22 @@
   flush();
 }
 
+void EventLog::updateWindow(TimePoint Now) {
+  if (Now - WindowStart_ < std::chrono::seconds(1))
+    return;
+  WindowStart_ = Now;
+  InfoLines_ = 0;
+  OtherLines_ = 0;
+  SampledLines_ = 0;
+}
+
+bool EventLog::admitSampledLine() {
+  updateWindow(Timers_.now());
+  return SampledLines_++ < MaxSampledLines;
+}
+
 bool EventLog::admitLine(LogLevel Level, TimePoint Now) {
-  if (Now - WindowStart_ >= std::chrono::seconds(1)) {
-    WindowStart_ = Now;
-    InfoLines_ = 0;
-    OtherLines_ = 0;
-  }
+  updateWindow(Now);
   std::uint32_t &Lines = Level == LogLevel::Info ? InfoLines_ : OtherLines_;
   const std::uint32_t MaxLines =
       Level == LogLevel::Info ? MaxInfoLines : MaxOtherLines;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -327,13 +327,28 @@
         Outcome == AttemptOutcome::TimedOut ||
         Outcome == AttemptOutcome::NotConnected)
       Dependencies_.Client_.closeIdle(Attempt.Target_.Address_);
-    if (Outcome != AttemptOutcome::Success || Attempt.IsTrial_ ||
-        Attempt.IsResend_)
-      logAttempt(Attempt, attemptOutcomeName(Outcome),
-                 Result.End_ == CallEnd::Answered
-                     ? "status " + std::to_string(Result.Answer_.Status_) +
-                           " load " + reportedLoadText(Result.Answer_)
-                     : Result.Detail_);
+    if (Result.End_ != CallEnd::Answered)
+      return logAttempt(Attempt, attemptOutcomeName(Outcome), Result.Detail_);
+    const BodyFraming Framing = bodyFraming(Result.Answer_);
+    Dependencies_.Metrics_.count(std::string("answers_") +
+                                 bodyFramingName(Framing));
+    if (Result.IsEarly_)
+      Dependencies_.Metrics_.count("answers_early");
+    const bool IsRoutine = Outcome == AttemptOutcome::Success &&
+                           !Attempt.IsTrial_ && !Attempt.IsResend_ &&
+                           !Result.IsEarly_ && Result.CutResponses_ == 0 &&
+                           Framing != BodyFraming::UntilClose;
+    if (!IsRoutine || Dependencies_.Log_.admitSampledLine())
+      logAttempt(Attempt, attemptOutcomeName(Outcome), describeAnswer(Result));
+  }
+
+  std::string describeAnswer(const CallResult &Result) const {
+    const HttpMessage &Answer = Result.Answer_;
+    return "status " + std::to_string(Answer.Status_) + " load " +
+           reportedLoadText(Answer) + " " +
+           bodyFramingName(bodyFraming(Answer)) + " " +
+           std::to_string(Answer.Body_.size()) +
+           (Result.IsEarly_ ? " early" : "");
   }
 
   std::string reportedLoadText(const HttpMessage &Answer) const {
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -360,6 +360,7 @@
 void HttpClientConnection::complete(std::string_view Rest) {
   CallResult Result;
   Result.End_ = CallEnd::Answered;
+  Result.IsEarly_ = !IsWritten_;
   Result.SkippedResponses_ = OtherResponses_;
   Result.CutResponses_ = CutResponses_;
   Result.Answer_ = Parser_->take();
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -26,6 +26,27 @@
   return nullptr;
 }
 
+BodyFraming bodyFraming(const HttpMessage &Response) {
+  if (Response.header("Transfer-Encoding"))
+    return BodyFraming::Chunked;
+  const bool HasNoBody = Response.Status_ == 204 || Response.Status_ == 304;
+  return HasNoBody || Response.header("Content-Length")
+             ? BodyFraming::Length
+             : BodyFraming::UntilClose;
+}
+
+const char *bodyFramingName(BodyFraming Framing) {
+  switch (Framing) {
+  case BodyFraming::Length:
+    return "length";
+  case BodyFraming::Chunked:
+    return "chunked";
+  case BodyFraming::UntilClose:
+    return "until_close";
+  }
+  return "unknown";
+}
+
 std::size_t HttpMessage::headerCount(std::string_view Name) const {
   return static_cast<std::size_t>(std::count_if(
       Headers_.begin(), Headers_.end(), [&](const HeaderField &Field) {
--- a/test/event-log-test.cc
+++ b/test/event-log-test.cc
@@ -29,6 +29,19 @@
   CHECK(readOutput().find("lines_left_out count=940") != std::string::npos);
 }
 
+// Guards against logs that grow with the number of ordinary requests.
+TEST(EventLog, SampledLinesAreLimitedAndNotCountedAsDropped) {
+  EventLog Log(Timers_, Pipe_[1], LogLevel::Info);
+  for (int Second = 0; Second < 2; ++Second) {
+    int Admitted = 0;
+    for (int Count = 0; Count < 100; ++Count)
+      Admitted += Log.admitSampledLine() ? 1 : 0;
+    CHECK_EQUAL(10, Admitted);
+    Timers_.advance(ms(1'000));
+  }
+  CHECK_EQUAL(0, Log.droppedLines());
+}
+
 // Guards against a host that blocks in logging because nobody reads its output.
 TEST(EventLog, FullOutputDoesNotBlock) {
   EventLog Log(Timers_, Pipe_[1], LogLevel::Info);
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -96,6 +96,10 @@
         });
   }
 
+  std::uint64_t counter(const std::string &Name) {
+    return Metrics_.snapshot(Timers_.now()).Counters_[Name];
+  }
+
   static bool endsWith(const std::string &Text, const std::string &End) {
     return Text.size() >= End.size() &&
            Text.compare(Text.size() - End.size(), End.size(), End) == 0;
@@ -263,6 +267,7 @@
   CHECK(Received_.find("HTTP/1.1 200") == 0);
   // Its first read got a part of the request as well.
   CHECK(ReadBytes + TargetBuffer_.size() >= LongBodyBytes);
+  CHECK_EQUAL(1, counter("answers_until_close"));
 }
 
 // Guards against filling the body of an answer that broke off with the head of
@@ -278,6 +283,8 @@
                    endsWith(Got, "\r\n\r\n" + Body),
                (std::to_string(Missing) + " missing: " + Got).c_str());
   }
+  CHECK(counter("responses_cut") > 0);
+  CHECK_EQUAL(counter("responses_cut"), counter("answers_length"));
 }
 
 // The same where the two arrive in reads that end anywhere.
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -100,3 +100,17 @@
                           "Content-Length: 2\r\n\r\nxy"),
               writeRequest(Message));
 }
+
+TEST(MessageParser, TellsTheFramingOfResponses) {
+  const auto Framing = [](int Status, const HeaderFields &Headers) {
+    HttpMessage Response;
+    Response.Status_ = Status;
+    Response.Headers_ = Headers;
+    return std::string(bodyFramingName(bodyFraming(Response)));
+  };
+  STRCMP_EQUAL("length", Framing(200, {{"content-length", "3"}}).c_str());
+  STRCMP_EQUAL("length", Framing(204, {}).c_str());
+  STRCMP_EQUAL("chunked",
+               Framing(200, {{"Transfer-Encoding", "chunked"}}).c_str());
+  STRCMP_EQUAL("until_close", Framing(200, {}).c_str());
+}
