serve: find a second answer inside the bytes of one

The fault of the gateway's client holds for BackendClient: an answer that broke off and is followed by another one on its connection was completed with the bytes of that, and a head that broke off gave its status to the next answer.

cpp-httplib counts bytes, and its stream drops what it has read beyond an answer. BackendStream now stands in its place: it gives the library the bytes, scans them, and shows the scan what follows. Such an attempt ends as Mismatched; it may have run. Services without an echo header have no id to compare and are as before.

Two of three new tests fail without the change (the copy from one missing byte on).

--- a/include/kumquatpitch/backend-connection.h
+++ b/include/kumquatpitch/backend-connection.h
@@ -7,6 +7,7 @@
 
 #include "kumquatpitch/http-message.h"
 #include "kumquatpitch/peer-transport.h"
+#include "kumquatpitch/spliced-response.h"
 #include "kumquatpitch/time-point.h"
 
 #include <atomic>
@@ -22,6 +23,7 @@
   bool IsNew_ = false;         ///< The connection was opened for this exchange.
   bool IsWriteDenied_ = false; ///< MayWrite returned false.
   bool IsTooLarge_ = false;    ///< The answer exceeded the limit.
+  bool IsSpliced_ = false;     ///< Another answer begins inside the answer.
   httplib::Response Response_; ///< Valid when Error_ is Success.
 };
 
@@ -31,7 +33,7 @@
 
   /// Sends `Request` and reads the answer. Connecting takes `Remaining` at
   /// most; the owner bounds the whole exchange by calling stop().
-  ExchangeResult exchange(httplib::Request &Request,
+  ExchangeResult exchange(httplib::Request &Request, const RequestEcho &Echo,
                           std::uint64_t MaxAnswerBytes, Duration Remaining,
                           const std::function<bool()> &MayWrite);
 
@@ -48,11 +50,18 @@
                                  httplib::Error &Error) override;
 
 private:
+  bool
+  process_socket(const Socket &Opened,
+                 std::function<bool(httplib::Stream &)> HandleRequest) override;
+
   const Endpoint Address_;
   const std::uint64_t Generation_;
   std::atomic<bool> MayBeWriting_{false};
   const std::function<bool()> *MayWrite_ = nullptr; ///< Set during an exchange.
   ExchangeResult *Current_ = nullptr;               ///< Set during an exchange.
+  CarriedRequestIds CarriedIds_;
+  SplicedResponseScan Scan_; ///< Of the current answer.
+  Duration StreamTimeout_{}; ///< Of one read or write.
 };
 
 } // namespace kumquatpitch::detail
--- /dev/null
+++ b/include/kumquatpitch/backend-stream.h
@@ -0,0 +1,53 @@
+// The byte stream of one exchange with a backend server. Gives the HTTP library
+// the bytes of the answer and scans them for a second one. Used by
+// BackendConnection.
+
+#ifndef KUMQUATPITCH_BACKEND_STREAM_H
+#define KUMQUATPITCH_BACKEND_STREAM_H
+
+#include "kumquatpitch/spliced-response.h"
+#include "kumquatpitch/time-point.h"
+
+#include <array>
+#include <httplib.h>
+
+namespace kumquatpitch::detail {
+
+class BackendStream : public httplib::Stream {
+public:
+  /// Each read or write waits for at most `Timeout`. `Scan` gets the bytes that
+  /// the library reads.
+  BackendStream(socket_t Socket, Duration Timeout, SplicedResponseScan &Scan)
+      : Socket_(Socket), Timeout_(Timeout), Scan_(Scan) {}
+
+  /// Shows the scan what follows the complete answer, and waits for it while
+  /// the scan is undecided.
+  void scanAfterAnswer();
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char *Bytes, size_t Size) override;
+  ssize_t write(const char *Bytes, size_t Size) override;
+  void get_remote_ip_and_port(std::string &Ip, int &Port) const override;
+  void get_local_ip_and_port(std::string &Ip, int &Port) const override;
+  socket_t socket() const override { return Socket_; }
+
+private:
+  static constexpr std::size_t BufferBytes = 4'096;
+
+  bool isReady(short Events, Duration Timeout) const;
+  /// Fills the empty buffer. Returns 0 at the end of the stream and -1 on an
+  /// error or a timeout.
+  ssize_t fill(Duration Timeout);
+
+  const socket_t Socket_;
+  const Duration Timeout_;
+  SplicedResponseScan &Scan_;
+  std::array<char, BufferBytes> Buffer_;
+  std::size_t Begin_ = 0; ///< Of the bytes that were received and not read.
+  std::size_t End_ = 0;
+};
+
+} // namespace kumquatpitch::detail
+
+#endif
--- a/include/kumquatpitch/spliced-response.h
+++ b/include/kumquatpitch/spliced-response.h
@@ -7,6 +7,7 @@
 #define KUMQUATPITCH_SPLICED_RESPONSE_H
 
 #include "kumquatpitch/response-match.h"
+#include "kumquatpitch/time-point.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -50,6 +51,13 @@
     return IsInHead_ || Matched_ >= ProtocolNameBytes;
   }
 
+  /// How long to wait for what follows a response that is undecided: a round
+  /// trip, or more if a second one is likely, since a lost packet is sent again
+  /// after 200 ms.
+  Duration holdTime() const {
+    return std::chrono::milliseconds(isLikelySecond() ? 250 : 20);
+  }
+
   /// The bytes received since the beginning of the second response. Must be
   /// called only when the verdict is Spliced.
   std::string takeSecond() { return std::move(Second_); }
--- a/src/backend-client.cc
+++ b/src/backend-client.cc
@@ -167,7 +167,8 @@
   if (!Canceller.attach(Connection.get()))
     return Result;
   ExchangeResult Exchange = Connection->exchange(
-      Outgoing, Order.MaxAnswerBytes_, Remaining, MayWrite);
+      Outgoing, RequestEcho{Order.EchoHeader_, Order.WireId_},
+      Order.MaxAnswerBytes_, Remaining, MayWrite);
   const AttemptEnd Reason = Canceller.detach();
   const TimePoint End = Timers_.now();
   Result.Report_.Latency_ = End - Start;
@@ -183,7 +184,8 @@
     Result.Report_.End_ = AttemptEnd::NotDelimited;
     return Result;
   }
-  const bool IsOwn = isAnswerTo(Order, Exchange.Response_);
+  const bool IsOwn =
+      !Exchange.IsSpliced_ && isAnswerTo(Order, Exchange.Response_);
   Result.Answer_ = makeAnswer(Exchange.Response_, Request.Method_);
   Result.Report_.HttpStatus_ = Result.Answer_.Status_;
   Result.Report_.Load_ = reportedLoad(Result.Answer_, Order.LoadHeader_);
--- a/src/backend-connection.cc
+++ b/src/backend-connection.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/backend-connection.h"
 
+#include "kumquatpitch/backend-stream.h"
+
 namespace kumquatpitch::detail {
 
 static constexpr std::chrono::milliseconds StopTolerance{500};
@@ -18,7 +20,7 @@
 }
 
 ExchangeResult
-BackendConnection::exchange(httplib::Request &Request,
+BackendConnection::exchange(httplib::Request &Request, const RequestEcho &Echo,
                             std::uint64_t MaxAnswerBytes, Duration Remaining,
                             const std::function<bool()> &MayWrite) {
   ExchangeResult Result;
@@ -27,8 +29,9 @@
   set_connection_timeout(Remaining);
   // BackendClient's canceller calls stop() at the deadline. The library's own
   // timeouts expire 500 ms later, so that they are not mistaken for the cause.
-  set_read_timeout(Remaining + StopTolerance);
-  set_write_timeout(Remaining + StopTolerance);
+  StreamTimeout_ = Remaining + StopTolerance;
+  CarriedIds_.add(Echo.Id_);
+  Scan_.begin(Echo.Header_, CarriedIds_);
   Request.content_receiver = [&](const char *Bytes, size_t Count, uint64_t,
                                  uint64_t) {
     Result.IsTooLarge_ = Result.Response_.body.size() + Count > MaxAnswerBytes;
@@ -50,9 +53,20 @@
   MayBeWriting_ = false;
   MayWrite_ = nullptr;
   Current_ = nullptr;
+  Result.IsSpliced_ = Scan_.verdict() == SplicedResponseScan::Verdict::Spliced;
   return Result;
 }
 
+bool BackendConnection::process_socket(
+    const Socket &Opened,
+    std::function<bool(httplib::Stream &)> HandleRequest) {
+  BackendStream Stream(Opened.sock, StreamTimeout_, Scan_);
+  const bool IsAnswered = HandleRequest(Stream);
+  if (IsAnswered)
+    Stream.scanAfterAnswer();
+  return IsAnswered;
+}
+
 bool BackendConnection::create_and_connect_socket(Socket &Created,
                                                   httplib::Error &Error) {
   Current_->IsNew_ = true;
--- /dev/null
+++ b/src/backend-stream.cc
@@ -0,0 +1,67 @@
+// Reads, writes and scans of one exchange. See backend-stream.h.
+
+#include "kumquatpitch/backend-stream.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace kumquatpitch::detail {
+
+bool BackendStream::isReady(short Events, Duration Timeout) const {
+  pollfd State{Socket_, Events, 0};
+  return poll(&State, 1, static_cast<int>(toMilliseconds(Timeout))) > 0;
+}
+
+ssize_t BackendStream::fill(Duration Timeout) {
+  if (!isReady(POLLIN, Timeout))
+    return -1;
+  const ssize_t Size = recv(Socket_, Buffer_.data(), Buffer_.size(), 0);
+  Begin_ = 0;
+  End_ = Size > 0 ? static_cast<std::size_t>(Size) : 0;
+  return Size;
+}
+
+void BackendStream::scanAfterAnswer() {
+  do {
+    Scan_.feedAfterEnd(
+        std::string_view(Buffer_.data() + Begin_, End_ - Begin_));
+    Begin_ = End_;
+  } while (Scan_.verdict() == SplicedResponseScan::Verdict::Undecided &&
+           fill(Scan_.holdTime()) > 0);
+}
+
+bool BackendStream::is_readable() const {
+  return Begin_ < End_ || isReady(POLLIN, Timeout_);
+}
+
+bool BackendStream::is_writable() const { return isReady(POLLOUT, Timeout_); }
+
+ssize_t BackendStream::read(char *Bytes, size_t Size) {
+  if (Begin_ == End_) {
+    const ssize_t Received = fill(Timeout_);
+    if (Received <= 0)
+      return Received;
+  }
+  const std::size_t Count = std::min(Size, End_ - Begin_);
+  std::copy_n(Buffer_.data() + Begin_, Count, Bytes);
+  Scan_.feed(std::string_view(Bytes, Count));
+  Begin_ += Count;
+  return static_cast<ssize_t>(Count);
+}
+
+ssize_t BackendStream::write(const char *Bytes, size_t Size) {
+  return is_writable() ? send(Socket_, Bytes, Size, MSG_NOSIGNAL) : -1;
+}
+
+void BackendStream::get_remote_ip_and_port(std::string &Ip, int &Port) const {
+  Ip.clear(); // Only servers of the library ask for it.
+  Port = 0;
+}
+
+void BackendStream::get_local_ip_and_port(std::string &Ip, int &Port) const {
+  Ip.clear();
+  Port = 0;
+}
+
+} // namespace kumquatpitch::detail
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -27,11 +27,6 @@
 /// How often a connection that the server has ended is checked for the delivery
 /// of the request, which the system does not report.
 constexpr Duration EndCheckPeriod = std::chrono::milliseconds(5);
-/// How long a complete response that ends like the beginning of a second one is
-/// held: for a round trip, and longer if that is likely, since a lost packet is
-/// sent again after 200 ms.
-constexpr Duration HoldTime = std::chrono::milliseconds(20);
-constexpr Duration LikelyHoldTime = std::chrono::milliseconds(250);
 /// TCP_USER_TIMEOUT: the connection is closed if the other end leaves sent
 /// data unacknowledged for this time.
 constexpr int UserTimeoutMs = 3'000;
@@ -328,7 +323,7 @@
 void HttpClientConnection::hold() {
   IsHeld_ = true;
   const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
-  HoldTimer_.expires_after(Scan_.isLikelySecond() ? LikelyHoldTime : HoldTime);
+  HoldTimer_.expires_after(Scan_.holdTime());
   HoldTimer_.async_wait([Self](const asio::error_code &Cancelled) {
     if (!Cancelled && Self->OnEnd_ && Self->IsHeld_)
       Self->complete(std::string_view());
--- a/test/backend-client-test.cc
+++ b/test/backend-client-test.cc
@@ -72,3 +72,32 @@
                 "HTTP/1.1 200 OK\r\nX-Attempt: 6-9\r\nContent-Length: "
                 "7\r\n\r\nforeign") == AttemptEnd::Mismatched);
 }
+
+// Guards against filling an answer that broke off with the copy that the server
+// writes behind it.
+TEST(BackendClient, CopyBehindAnAnswerThatBrokeOffIsNotItsBody) {
+  const std::string Own = "HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\n"
+                          "Content-Length: 40\r\n\r\n" +
+                          std::string(40, 'b');
+  for (std::size_t Missing = 1; Missing < Own.size(); ++Missing)
+    CHECK_TEXT(attempt(Own.substr(0, Own.size() - Missing) + Own) !=
+                   AttemptEnd::Answered,
+               ("missing " + std::to_string(Missing)).c_str());
+}
+
+// Guards against joining the status of an answer that broke off with the answer
+// that follows it.
+TEST(BackendClient, StatusOfAnAnswerThatBrokeOffIsNotTaken) {
+  const std::string Own = "HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\n"
+                          "Content-Length: 2\r\n\r\nok";
+  CHECK(attempt("HTTP/1.1 503 Service Unavailable\r\nContent-Type: te" + Own) ==
+        AttemptEnd::Mismatched);
+  CHECK(attempt("HTTP/1.1 503 " + Own) == AttemptEnd::Mismatched);
+}
+
+TEST(BackendClient, BodyThatEndsLikeAStatusLineIsTaken) {
+  for (const char *End : {"H", "HTTP/1.1 200 OK"})
+    CHECK(attempt("HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\nContent-Length: " +
+                  std::to_string(std::string(End).size()) + "\r\n\r\n" + End) ==
+          AttemptEnd::Answered);
+}
