Gateway: report a timeout only when the time is over

Log and caller were told a wrong cause.

Cause: refusalFor() gave each request that may have run the code of a timeout. It now does so only when the deadline is reached; before that the code is backend_broken, 502. Both promise nothing, so what callers may do is the same.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -7,6 +7,7 @@
 #ifndef KUMQUATPITCH_GATEWAY_CORE_H
 #define KUMQUATPITCH_GATEWAY_CORE_H
 
+#include "kumquatpitch/gateway-refusal.h"
 #include "kumquatpitch/queue-wait.h"
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/resend-budget.h"
@@ -45,15 +46,6 @@
   bool operator==(const RequestHead &) const = default;
 };
 
-/// An error response that the gateway sends instead of a backend server's.
-struct GatewayRefusal {
-  ResultCode Code_ = ResultCode::InternalError;
-  int Status_ = 500;
-  std::optional<Duration> RetryAfter_;
-
-  bool operator==(const GatewayRefusal &) const = default;
-};
-
 /// One request in progress. Only GatewayCore modifies it.
 struct GatewayRequest {
   std::shared_ptr<const RouteTable> Table_; ///< Keeps Route_ alive.
@@ -234,8 +226,6 @@
   AttemptEvidence classifyAttempt(const GatewayRequest &Request,
                                   const GatewayAttempt &Attempt,
                                   AttemptOutcome Outcome, TimePoint Now) const;
-  GatewayRefusal refuse(ResultCode Code,
-                        std::optional<Duration> RetryAfter) const;
   GatewayAttempt startAttempt(GatewayRequest &Request, ServiceState &State,
                               const TargetPick &Pick, bool IsResend,
                               TimePoint Now);
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -16,13 +16,6 @@
 /// Failed connection attempts of a request that are repeated without drawing on
 /// the resend budget.
 constexpr std::uint32_t MaxFailedConnects = 3;
-/// Retry delay sent to callers while the configuration or the targets are
-/// missing: roughly the time that it takes to read them.
-constexpr Duration StateRetryAfter = std::chrono::milliseconds(500);
-/// Bounds of the retry delay sent to a refused caller. The queue's departure
-/// rate does not predict more than a few seconds.
-constexpr Duration MinRetryAfter = std::chrono::milliseconds(100);
-constexpr Duration MaxRetryAfter = std::chrono::seconds(5);
 /// Time reserved before the deadline for the response to reach the caller.
 constexpr Duration DeliveryTime = std::chrono::milliseconds(15);
 /// A failure this close to the deadline is attributed to the target's own time
@@ -116,18 +109,13 @@
         .Balancer_.setTargets(Service.second, Now);
 }
 
-GatewayRefusal GatewayCore::refuse(ResultCode Code,
-                                   std::optional<Duration> RetryAfter) const {
-  return GatewayRefusal{Code, httpStatus(Code), RetryAfter};
-}
-
 std::variant<GatewayRefusal, std::shared_ptr<GatewayRequest>>
 GatewayCore::admit(const RequestHead &Head, TimePoint Now) {
   if (!Table_)
-    return refuse(ResultCode::NotReady, StateRetryAfter);
+    return makeRefusal(ResultCode::NotReady, StateRetryAfter);
   const VirtualRoute *Route = Table_->find(Head.Host_, Head.Path_);
   if (!Route)
-    return refuse(ResultCode::RouteUnknown, std::nullopt);
+    return makeRefusal(ResultCode::RouteUnknown, std::nullopt);
   const std::shared_ptr<GatewayRequest> Request =
       std::make_shared<GatewayRequest>();
   Request->Table_ = Table_;
@@ -282,7 +270,7 @@
     return startAttempt(Request, State, *Pick, Request.Sent_ > 0, Now);
   if (!State.Balancer_.hasUntriedTarget(Constraints, Now))
     return Request.Tried_.empty()
-               ? refuse(ResultCode::NoTarget, StateRetryAfter)
+               ? makeRefusal(ResultCode::NoTarget, StateRetryAfter)
                : refusalFor(Request, Now);
   return QueuedForTarget{};
 }
@@ -517,7 +505,7 @@
     return GatewayDecision{GatewayStep::Deliver, {}, std::nullopt};
   if (Outcome == AttemptOutcome::Broken)
     return GatewayDecision{GatewayStep::Fail,
-                           refuse(ResultCode::BackendBroken, std::nullopt),
+                           makeRefusal(ResultCode::BackendBroken, std::nullopt),
                            std::nullopt};
   return GatewayDecision{GatewayStep::Fail, refusalFor(Request, Now),
                          std::nullopt};
@@ -525,22 +513,16 @@
 
 GatewayRefusal GatewayCore::refusalFor(const GatewayRequest &Request,
                                        TimePoint Now) const {
-  if (Request.MayHaveRun_ || Request.InProgress_ > 0)
-    return refuse(ResultCode::BackendTimeout, std::nullopt);
+  const UnservedRequest Unserved{Request.MayHaveRun_ || Request.InProgress_ > 0,
+                                 Request.DeadlineAt_ - Now <= DeliveryTime};
   const std::map<ServiceName, ServiceState>::const_iterator It =
       Services_.find(Request.Service_);
   if (It == Services_.end())
-    return refuse(ResultCode::BackendRefused, StateRetryAfter);
-  // The time until all requests that are queued now have left the queue. The
-  // callers that were refused first are asked to return first.
+    return refusalOf(Unserved, StateRetryAfter);
   const ServiceState &State = It->second;
   const double Rate =
       State.Wait_.departureRate(expectedDepartureRate(State, Now), Now);
-  const double Seconds =
-      static_cast<double>(State.Queue_.size()) / std::max(Rate, 1e-3);
-  const Duration Wait =
-      fromSeconds(std::min(Seconds, toSeconds(MaxRetryAfter)));
-  return refuse(ResultCode::BackendRefused, std::max(MinRetryAfter, Wait));
+  return refusalOf(Unserved, retryAfterQueue(State.Queue_.size(), Rate));
 }
 
 void GatewayCore::requestEnded(const GatewayRequest &Request, bool Served,
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -22,8 +22,6 @@
 /// Waiting requests are reconsidered when an attempt ends, and also at this
 /// interval, because the information about other hosts' load decays over time.
 constexpr Duration ResumePeriod = std::chrono::milliseconds(40);
-/// Short, because the other hosts can serve the request immediately.
-constexpr Duration OtherHostRetryAfter = std::chrono::milliseconds(20);
 constexpr std::int64_t MaxDeadlineMs = 3'600'000;
 
 std::string formatSeconds(Duration Span) {
@@ -524,9 +522,8 @@
 void GatewayFront::handle(std::shared_ptr<HttpExchange> Exchange) {
   if (RejectsNewRequests_) {
     Dependencies_.Metrics_.count("requests_refused_leaving");
-    return Exchange->answer(refusalAnswer(GatewayRefusal{
-        ResultCode::HostLeaving, httpStatus(ResultCode::HostLeaving),
-        OtherHostRetryAfter}));
+    return Exchange->answer(refusalAnswer(
+        makeRefusal(ResultCode::HostLeaving, OtherHostRetryAfter)));
   }
   std::make_shared<ActiveGatewayRequest>(*this, std::move(Exchange))->start();
 }
@@ -538,7 +535,7 @@
   const std::optional<Duration> RetryAfter =
       Code == ResultCode::BuffersFull ? std::optional(OtherHostRetryAfter)
                                       : std::nullopt;
-  return refusalAnswer(GatewayRefusal{Code, httpStatus(Code), RetryAfter});
+  return refusalAnswer(makeRefusal(Code, RetryAfter));
 }
 
 } // namespace kumquatpitch
