Planned stop: send only requests that can end before the process

Callers of a stopping host got no answer.

Cause: new requests were taken for half of the stop time, whatever their deadline, and nothing compared it with the end of the process. Queued requests, resends and hedged attempts had the same fault, and so had serve with its stop_limit_ms.

StopSchedule now has the times of a stop. An attempt is made only for a request whose deadline is before the end, with 0.25 s for its response; others are refused at once as not run, so that their callers go to another host. The expected time of a request does not decide, since a target may be slow or silent.

The new tests of GatewayCore, GatewayStop and RequestDriver call the new beginStop(); without its checks such requests are passed on.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -132,6 +132,12 @@
       const std::map<ServiceName, std::vector<AssignedHost>> &HostsByService,
       std::size_t AliveHosts, TimePoint Now);
 
+  /// Begins a planned stop: from now on, attempts are made only for requests
+  /// whose deadline is `LatestDeadline` at the latest. Others are refused as
+  /// not run, if they have not run; those that are queued, by the next call of
+  /// placeQueuedRequests().
+  void beginStop(TimePoint LatestDeadline) { LatestDeadline_ = LatestDeadline; }
+
   bool hasTable() const { return Table_ != nullptr; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
 
@@ -218,6 +224,9 @@
   using PlacedRequests =
       std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>;
 
+  bool mayStillSend(const GatewayRequest &Request) const {
+    return !LatestDeadline_ || Request.DeadlineAt_ <= *LatestDeadline_;
+  }
   ResendLimits resendLimits(const ServiceName &Name) const;
   Duration meanLatency(const VirtualRoute &Route) const;
   Duration expectedLatency(const VirtualRoute &Route) const;
@@ -253,7 +262,8 @@
   /// This host's share of the fleet's resend slack, for the services whose
   /// callers are given this host.
   std::map<ServiceName, double> SlackShares_;
-  double DefaultSlackShare_ = 0; ///< For all other services.
+  double DefaultSlackShare_ = 0;            ///< For all other services.
+  std::optional<TimePoint> LatestDeadline_; ///< Set during a planned stop.
   std::shared_ptr<const RouteTable> Table_;
   std::map<ServiceName, ServiceState> Services_;
   RouteSplit Split_;
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -10,6 +10,7 @@
 #include "kumquatpitch/gateway-settings.h"
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/peer-channel.h"
+#include "kumquatpitch/stop-schedule.h"
 #include "kumquatpitch/store-follower.h"
 #include "kumquatpitch/store-read-log.h"
 
@@ -98,7 +99,7 @@
   /// When a failure of the target was last sent to the other hosts. Entries
   /// older than EvidenceInterval are dropped.
   std::map<TargetId, TimePoint> LastEvidenceAt_;
-  std::optional<TimePoint> StopStartedAt_;
+  std::optional<StopSchedule> Stop_; ///< Set during a planned stop.
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/gateway-refusal.h
+++ b/include/kumquatpitch/gateway-refusal.h
@@ -34,8 +34,9 @@
 
 /// What is known of a request that gets no further attempt.
 struct UnservedRequest {
-  bool MayHaveRun_ = false; ///< A target has it or may have executed it.
-  bool IsTimeOver_ = false; ///< Its deadline has passed.
+  bool MayHaveRun_ = false;    ///< A target has it or may have executed it.
+  bool IsTimeOver_ = false;    ///< Its deadline has passed.
+  bool IsHostLeaving_ = false; ///< It may not end before the host does.
 
   bool operator==(const UnservedRequest &) const = default;
 };
--- a/include/kumquatpitch/host-core.h
+++ b/include/kumquatpitch/host-core.h
@@ -89,8 +89,10 @@
   bool isReady(TimePoint Now) const;
   bool isLeaving() const { return IsLeaving_; }
 
-  /// Starts a planned stop: the host announces that it is leaving.
-  void beginStop(TimePoint Now);
+  /// Starts a planned stop: the host announces that it is leaving. From now on,
+  /// attempts are made only for requests whose deadline is `LatestDeadline` at
+  /// the latest.
+  CoreActions beginStop(TimePoint LatestDeadline, TimePoint Now);
   /// True when a planned stop may end: no request is in progress, and no caller
   /// can still hold a valid answer that lists this host.
   bool mayStop(TimePoint Now) const;
--- a/include/kumquatpitch/request-flow.h
+++ b/include/kumquatpitch/request-flow.h
@@ -44,6 +44,11 @@
   CoreActions finishAttempt(FlowId Flow, const AttemptReport &Report,
                             TimePoint Now);
 
+  /// Begins a planned stop: from now on, attempts are started only for requests
+  /// whose deadline is `LatestDeadline` at the latest. Returns the refusals of
+  /// the queued ones with a later deadline.
+  CoreActions beginStop(TimePoint LatestDeadline, TimePoint Now);
+
   /// Handles a caller that disconnected: cancels the running attempt, or
   /// removes the request from the queue.
   CoreActions onCallerDisconnect(FlowId Flow, TimePoint Now);
@@ -92,6 +97,10 @@
   };
   using FlowMap = std::map<FlowId, FlowState>;
 
+  bool mayStillSend(const FlowState &State) const {
+    return State.Deadline_ <= LatestDeadline_;
+  }
+  NextStep refuseLeaving(const FlowState &State);
   NextStep admitRouted(const RoutedRequest &Routed, FlowId Id, FlowState &State,
                        TimePoint Now);
   NextStep registerRequest(const RoutedRequest &Routed, FlowState &State,
@@ -112,6 +121,7 @@
   const Incarnation Incarnation_;
   Metrics &Metrics_;
   RequestRegistry Registry_;
+  TimePoint LatestDeadline_ = TimePoint::max(); ///< Earlier during a stop.
   FlowId NextFlow_ = 1;
   AttemptId NextAttempt_ = 1;
   FlowMap Flows_;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -262,7 +262,7 @@
 Placement GatewayCore::tryToPlace(GatewayRequest &Request, ServiceState &State,
                                   TimePoint Now) {
   const PickConstraints Constraints = pickConstraints(Request, State, Now);
-  if (Constraints.TimeLeft_ <= DeliveryTime)
+  if (Constraints.TimeLeft_ <= DeliveryTime || !mayStillSend(Request))
     return refusalFor(Request, Now);
   const std::optional<TargetPick> Pick =
       State.Balancer_.pick(Constraints, Now, Random_);
@@ -289,8 +289,9 @@
                              TimePoint Now) {
   ServiceState &State = findOrCreateService(Request->Service_);
   // Requests that are already queued are placed before a new one.
-  Placement Result = State.Queue_.empty() ? tryToPlace(*Request, State, Now)
-                                          : Placement(QueuedForTarget{});
+  Placement Result = State.Queue_.empty() || !mayStillSend(*Request)
+                         ? tryToPlace(*Request, State, Now)
+                         : Placement(QueuedForTarget{});
   if (!std::holds_alternative<QueuedForTarget>(Result))
     return Result;
   State.Queue_.push_back(Request);
@@ -388,8 +389,9 @@
   for (const std::shared_ptr<GatewayRequest> &Request : State.Queue_) {
     // Once one request finds no free slot, those behind it could only take the
     // slots of trials, so they are only checked against their deadlines.
-    Placement Result = IsFull ? Placement(QueuedForTarget{})
-                              : tryToPlace(*Request, State, Now);
+    Placement Result = IsFull && mayStillSend(*Request)
+                           ? Placement(QueuedForTarget{})
+                           : tryToPlace(*Request, State, Now);
     if (std::holds_alternative<QueuedForTarget>(Result)) {
       IsFull = true;
       Result = placeQueued(*Request, State, StillQueued.size(), Rate, Now);
@@ -429,7 +431,7 @@
   ServiceState &State = findOrCreateService(Request.Service_);
   if (Request.IsHedged_ || !Request.Route_->isIdempotent() ||
       Request.Sent_ + Request.InProgress_ >= Request.Route_->MaxTargets_ ||
-      Request.DeadlineAt_ - Now < MinResendTime ||
+      Request.DeadlineAt_ - Now < MinResendTime || !mayStillSend(Request) ||
       State.Budget_.available(resendLimits(Request.Service_), Now) <
           HedgeReserve)
     return std::nullopt;
@@ -488,7 +490,8 @@
                                                 TimePoint Now) {
   if (Request.InProgress_ > 0)
     return GatewayDecision{GatewayStep::Wait, {}, std::nullopt};
-  const bool HasTime = Request.DeadlineAt_ - Now >= MinResendTime;
+  const bool HasTime =
+      Request.DeadlineAt_ - Now >= MinResendTime && mayStillSend(Request);
   const bool MayRepeat = Request.Route_->isIdempotent() || !Request.MayHaveRun_;
   if (HasTime && MayRepeat && Outcome != AttemptOutcome::TimedOut) {
     if (Outcome == AttemptOutcome::NotConnected &&
@@ -514,7 +517,8 @@
 GatewayRefusal GatewayCore::refusalFor(const GatewayRequest &Request,
                                        TimePoint Now) const {
   const UnservedRequest Unserved{Request.MayHaveRun_ || Request.InProgress_ > 0,
-                                 Request.DeadlineAt_ - Now <= DeliveryTime};
+                                 Request.DeadlineAt_ - Now <= DeliveryTime,
+                                 !mayStillSend(Request)};
   const std::map<ServiceName, ServiceState>::const_iterator It =
       Services_.find(Request.Service_);
   if (It == Services_.end())
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -21,12 +21,6 @@
 constexpr Duration SettingsCheckPeriod = std::chrono::seconds(1);
 /// Limit for each of the readiness, directory and metrics ports.
 constexpr std::size_t MaxAuxiliaryConnections = 200;
-/// During a planned stop, new requests are still served for this fraction of
-/// the stop timeout, so that callers have fetched a new host list by then.
-/// After that they are refused as not run.
-constexpr double StopServeFraction = 0.5;
-/// The daemon exits this long before the platform would kill it.
-constexpr Duration StopSafetyMargin = std::chrono::milliseconds(500);
 /// How often hosts that serve the same service exchange their counts of failed
 /// requests. It is a fraction of the 2 s over which the floor (the share of
 /// targets to keep in use) is evaluated.
@@ -355,7 +349,7 @@
           readerRank(Membership_.self(), Membership_.members()), Now))
     startRead(*Next);
   updateState();
-  if (StopStartedAt_)
+  if (Stop_)
     continueStop(Now);
 }
 
@@ -522,12 +516,12 @@
   return Serving * 2 < static_cast<std::ptrdiff_t>(Members.size());
 }
 
-bool GatewayDaemon::isReady() const { return canServe() && !StopStartedAt_; }
+bool GatewayDaemon::isReady() const { return canServe() && !Stop_; }
 
 void GatewayDaemon::updateState() {
-  const MemberState State = StopStartedAt_ ? MemberState::Leaving
-                            : canServe()   ? MemberState::Serving
-                                           : MemberState::Starting;
+  const MemberState State = Stop_        ? MemberState::Leaving
+                            : canServe() ? MemberState::Serving
+                                         : MemberState::Starting;
   send(Membership_.setState(State));
 }
 
@@ -558,27 +552,23 @@
 }
 
 void GatewayDaemon::beginStop() {
-  if (StopStartedAt_)
+  if (Stop_)
     return;
-  StopStartedAt_ = Timers_.now();
+  Stop_.emplace(Timers_.now(), Settings_.StopTimeout_);
   Log_.write(
       LogLevel::Info, "daemon", "stopping",
       {{"in_progress", std::to_string(FrontServer_.requestsInProgress())},
        {"connections", std::to_string(FrontServer_.connections())}});
   updateState();
   FrontServer_.drain();
+  Core_.beginStop(Stop_->latestDeadline());
+  Front_.resumeWaitingRequests();
 }
 
 void GatewayDaemon::continueStop(TimePoint Now) {
-  const Duration Elapsed = Now - *StopStartedAt_;
-  const Duration ServeTime(static_cast<Duration::rep>(
-      static_cast<double>(Settings_.StopTimeout_.count()) * StopServeFraction));
-  if (Elapsed >= ServeTime)
+  if (!Stop_->servesNewRequests(Now))
     Front_.rejectNewRequests();
-  const bool IsIdle = FrontServer_.requestsInProgress() == 0;
-  constexpr Duration RefusalTime = std::chrono::milliseconds(1'000);
-  if ((IsIdle && Elapsed >= ServeTime + RefusalTime) ||
-      Elapsed >= Settings_.StopTimeout_ - StopSafetyMargin)
+  if (Stop_->mayEnd(Now, FrontServer_.requestsInProgress() == 0))
     Context_.stop();
 }
 
--- a/src/gateway-refusal.cc
+++ b/src/gateway-refusal.cc
@@ -17,6 +17,8 @@
 }
 
 GatewayRefusal refusalOf(const UnservedRequest &Request, Duration RetryAfter) {
+  if (!Request.MayHaveRun_ && Request.IsHostLeaving_)
+    return makeRefusal(ResultCode::HostLeaving, OtherHostRetryAfter);
   if (!Request.MayHaveRun_)
     return makeRefusal(ResultCode::BackendRefused, RetryAfter);
   return makeRefusal(Request.IsTimeOver_ ? ResultCode::BackendTimeout
--- a/src/host-core.cc
+++ b/src/host-core.cc
@@ -221,14 +221,15 @@
   }
 }
 
-void HostCore::beginStop(TimePoint Now) {
+CoreActions HostCore::beginStop(TimePoint LatestDeadline, TimePoint Now) {
   if (IsLeaving_)
-    return;
+    return {};
   IsLeaving_ = true;
   LeavingSince_ = Now;
   sendHeartbeats(Now);
   Log_.log(LogLevel::Info, "stop",
            "planned stop started; callers are referred to other hosts");
+  return Flow_.beginStop(LatestDeadline, Now);
 }
 
 bool HostCore::mayStop(TimePoint Now) const {
--- a/src/host-daemon.cc
+++ b/src/host-daemon.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/host-daemon.h"
 
+#include "kumquatpitch/stop-schedule.h"
+
 #include <random>
 
 namespace kumquatpitch {
@@ -131,10 +133,10 @@
 }
 
 void HostDaemon::beginStop() {
-  StopDeadline_ = Timers_.now() + Settings_.StopLimit_;
-  Driver_.runOnCore([](HostCore &Core, TimePoint Now) {
-    Core.beginStop(Now);
-    return CoreActions();
+  const StopSchedule Stop(Timers_.now(), Settings_.StopLimit_);
+  StopDeadline_ = Stop.endAt();
+  Driver_.runOnCore([&Stop](HostCore &Core, TimePoint Now) {
+    return Core.beginStop(Stop.latestDeadline(), Now);
   });
 }
 
--- a/src/request-flow.cc
+++ b/src/request-flow.cc
@@ -108,6 +108,8 @@
                           addressesOf(Service.config().Group_)};
   if (Now >= State.Deadline_)
     return refuseNotRun(ResultCode::DeadlinePassed, "the deadline has passed");
+  if (!mayStillSend(State))
+    return refuseLeaving(State);
   const ResultCode Quota = Service.quota().tryAcquire(Now);
   if (Quota != ResultCode::Ok)
     return refuseNotRun(
@@ -252,7 +254,7 @@
 std::optional<TargetId>
 RequestFlow::retryTarget(FlowState &State, AttemptEnd End, TimePoint Now) {
   ServiceRuntime &Service = *State.Service_;
-  if (State.IsCallerGone_ || Now >= State.Deadline_)
+  if (State.IsCallerGone_ || Now >= State.Deadline_ || !mayStillSend(State))
     return std::nullopt;
   const std::optional<TargetId> Other = Service.pick(State.TriedTargets_, Now);
   const bool IsUntried =
@@ -316,6 +318,27 @@
   return Actions;
 }
 
+NextStep RequestFlow::refuseLeaving(const FlowState &State) {
+  return RequestRefusal{ResultCode::HostLeaving, Outcome::NotRun,
+                        "the host may end before the request",
+                        addressesOf(State.Service_->config().Group_)};
+}
+
+CoreActions RequestFlow::beginStop(TimePoint LatestDeadline, TimePoint Now) {
+  LatestDeadline_ = LatestDeadline;
+  CoreActions Refusals;
+  FlowMap::iterator It = Flows_.begin();
+  while (It != Flows_.end()) {
+    const FlowMap::iterator Current = It++;
+    const FlowState &State = Current->second;
+    if (!State.IsQueued_ || mayStillSend(State))
+      continue;
+    State.Service_->queue().remove(Current->first);
+    Refusals.push_back(endFlow(Current, refuseLeaving(State), 0, Now));
+  }
+  return Refusals;
+}
+
 CoreActions RequestFlow::onCallerDisconnect(FlowId Flow, TimePoint Now) {
   const FlowMap::iterator It = Flows_.find(Flow);
   if (It == Flows_.end())
--- a/test/core-fleet.cc
+++ b/test/core-fleet.cc
@@ -86,7 +86,8 @@
 }
 
 void CoreFleet::beginStop(std::size_t I) {
-  post(I, Duration(0), [this, I] { Hosts_[I].Core_->beginStop(local(I)); });
+  post(I, Duration(0),
+       [this, I] { Hosts_[I].Core_->beginStop(TimePoint::max(), local(I)); });
 }
 
 void CoreFleet::listHost(std::size_t I, const std::string &State) {
--- a/test/gateway-core-test.cc
+++ b/test/gateway-core-test.cc
@@ -360,3 +360,58 @@
   CHECK_FALSE(endAttempt(Slow, SlowAttempt, AttemptOutcome::TimedOut, 700)
                   .Observation_.has_value());
 }
+
+// Guards against taking a request in a planned stop that the end of the process
+// would cut.
+TEST(GatewayCore, StopRefusesRequestsThatMayOutlastIt) {
+  Core_.beginStop(atMs(Now_ + 1'000));
+  CHECK(std::holds_alternative<GatewayAttempt>(
+      Core_.place(admit("/look/x", 1'000), atMs(Now_))));
+  for (const char *Path : {"/look/x", "/book/x"}) {
+    const Placement Placed = Core_.place(admit(Path, 1'001), atMs(Now_));
+    CHECK(std::get<GatewayRefusal>(Placed) ==
+          makeRefusal(ResultCode::HostLeaving, OtherHostRetryAfter));
+  }
+}
+
+TEST(GatewayCore, StopRefusesQueuedRequestsThatMayOutlastIt) {
+  fillSlots();
+  const std::shared_ptr<GatewayRequest> Long = admit("/book/x", 2'000);
+  const std::shared_ptr<GatewayRequest> Short = admit("/book/x", 1'900);
+  CHECK(
+      std::holds_alternative<QueuedForTarget>(Core_.place(Short, atMs(Now_))));
+  CHECK(std::holds_alternative<QueuedForTarget>(Core_.place(Long, atMs(Now_))));
+  Core_.beginStop(atMs(Now_ + 1'900));
+  const std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>
+      Placed = Core_.placeQueuedRequests(atMs(Now_));
+  CHECK_EQUAL(1, Placed.size());
+  CHECK(Placed.front().first == Long);
+  CHECK(std::get<GatewayRefusal>(Placed.front().second).Code_ ==
+        ResultCode::HostLeaving);
+}
+
+TEST(GatewayCore, StopResendsNoRequestThatMayOutlastIt) {
+  const std::shared_ptr<GatewayRequest> NotRun = admit("/look/x");
+  const std::shared_ptr<GatewayRequest> MayHaveRun = admit("/look/x");
+  const GatewayAttempt First = place(NotRun);
+  const GatewayAttempt Second = place(MayHaveRun);
+  Core_.beginStop(atMs(Now_ + 1'000));
+  const GatewayDecision Refused =
+      endAttempt(NotRun, First, AttemptOutcome::Refused, 5);
+  CHECK(Refused.Step_ == GatewayStep::Fail);
+  CHECK(Refused.Refusal_.Code_ == ResultCode::HostLeaving);
+  const GatewayDecision Broken =
+      endAttempt(MayHaveRun, Second, AttemptOutcome::Broken, 5);
+  CHECK(Broken.Step_ == GatewayStep::Fail);
+  CHECK(Broken.Refusal_.Code_ == ResultCode::BackendBroken);
+}
+
+TEST(GatewayCore, StopHedgesNoRequestThatMayOutlastIt) {
+  const std::shared_ptr<GatewayRequest> Long = admit("/look/x", 2'000);
+  const std::shared_ptr<GatewayRequest> Short = admit("/look/x", 1'000);
+  place(Long);
+  place(Short);
+  Core_.beginStop(atMs(Now_ + 1'000));
+  CHECK(Core_.placeHedge(*Short, atMs(Now_)).has_value());
+  CHECK_FALSE(Core_.placeHedge(*Long, atMs(Now_)).has_value());
+}
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -114,3 +114,24 @@
   CHECK(runUntilClosed());
   CHECK_EQUAL(0, Server_.requestsInProgress());
 }
+
+// Guards against a planned stop that cuts requests which it took late: they are
+// refused at once, as not run.
+TEST(GatewayStop, RequestThatMayOutlastTheStopIsNotPassedOn) {
+  startRecordingTarget();
+  Server_.drain();
+  Core_.beginStop(Timers_.now() + std::chrono::milliseconds(500));
+  // The route's timeout is 600 ms.
+  std::string Short = request("/look/1", "id1");
+  Short.insert(Short.find("\r\n") + 2, "Kumquatpitch-Deadline-Ms: 400\r\n");
+  call(Short + request("/look/2", "id2") + request("/book/3", "id3", "POST"));
+  CHECK(runUntilClosed());
+  CHECK_EQUAL(1, Ran_.size());
+  CHECK_EQUAL(1, Ran_.count("id1"));
+  CHECK_EQUAL(3, countResponses(Received_));
+  const std::size_t First = Received_.find("HTTP/1.1 503");
+  CHECK(First != std::string::npos);
+  CHECK(Received_.find("HTTP/1.1 503", First + 1) != std::string::npos);
+  CHECK(Received_.find("Kumquatpitch-Code: 5008") != std::string::npos);
+  CHECK(Received_.find("Retry-After: 0.020") != std::string::npos);
+}
--- a/test/request-driver-test.cc
+++ b/test/request-driver-test.cc
@@ -300,3 +300,22 @@
   CHECK_EQUAL(413, Response->status);
   CHECK_EQUAL(0, RunCount_.load());
 }
+
+// Guards against a planned stop that cuts requests which it took late.
+TEST(RequestDriver, RequestThatMayOutlastAStopIsRefused) {
+  Driver_->runOnCore([](HostCore &Core, TimePoint Now) {
+    return Core.beginStop(Now + test::ms(300), Now);
+  });
+  httplib::Client Client("127.0.0.1", Port_);
+  // The contract's deadline is 500 ms.
+  const httplib::Result Long = Client.Get("/lists/a");
+  CHECK(Long);
+  CHECK_EQUAL(503, Long->status);
+  CHECK(Long->body.find("\"host_leaving\"") != std::string::npos);
+  CHECK(Long->body.find("\"not-run\"") != std::string::npos);
+  CHECK_EQUAL(0, RunCount_.load());
+  const httplib::Result Short =
+      Client.Get("/lists/a", {{"Kumquatpitch-Deadline-Ms", "200"}});
+  CHECK(Short);
+  CHECK_EQUAL(200, Short->status);
+}
