--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -280,7 +280,7 @@
 }
 
 /// Ends the call with the parsed message, or skips one that is not the
-/// response to the request. True if the call has ended.
+/// response to the request. False if the next message is to be parsed.
 bool HttpClientConnection::completeOrSkip(std::string_view Rest) {
   switch (matchResponse(Parser_->message(), Options_.Echo_, IsReused_)) {
   case ResponseMatch::Own:
