serve: replace a connection whose list of carried ids is full

A connection now leaves the pool once it has carried 512 attempts.

The new test counts the requests of each connection; without the change one connection carries all 513.

--- a/include/kumquatpitch/backend-client.h
+++ b/include/kumquatpitch/backend-client.h
@@ -82,7 +82,8 @@
   /// Takes an idle connection from the pool or creates one.
   std::unique_ptr<detail::BackendConnection> acquire(const AttemptOrder &Order);
   /// Returns a connection to the pool, or closes it when it belongs to an old
-  /// generation, is closed, or `MaxIdle` connections are idle already.
+  /// generation, is closed or used up, or `MaxIdle` connections are idle
+  /// already.
   void release(std::unique_ptr<detail::BackendConnection> Connection,
                std::size_t MaxIdle);
 
--- a/include/kumquatpitch/backend-connection.h
+++ b/include/kumquatpitch/backend-connection.h
@@ -42,6 +42,9 @@
   /// exchange as well.
   bool mayBeWriting() const { return MayBeWriting_; }
 
+  /// True once the connection has carried as many requests as it remembers.
+  bool isUsedUp() const { return CarriedIds_.isFull(); }
+
   const Endpoint &address() const { return Address_; }
   std::uint64_t generation() const { return Generation_; }
 
--- a/src/backend-client.cc
+++ b/src/backend-client.cc
@@ -219,7 +219,8 @@
   const std::lock_guard<std::mutex> Lock(Mutex_);
   ConnectionPool &Pool = Pools_[Connection->address()];
   if (Connection->generation() == Pool.Generation_ &&
-      Pool.Idle_.size() < MaxIdle && Connection->is_socket_open() != 0)
+      Pool.Idle_.size() < MaxIdle && !Connection->isUsedUp() &&
+      Connection->is_socket_open() != 0)
     Pool.Idle_.push_back(std::move(Connection));
 }
 
--- a/test/backend-client-test.cc
+++ b/test/backend-client-test.cc
@@ -1,6 +1,7 @@
 // Tests BackendClient over real sockets against answers that are cut or joined.
 
 #include "kumquatpitch/backend-client.h"
+#include "kumquatpitch/response-match.h"
 
 #include "manual-time.h"
 
@@ -12,6 +13,7 @@
 #include <asio/write.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -24,6 +26,26 @@
   test::ManualTimerService Time_;
   BackendClient Client_{Time_};
 
+  AttemptOrder order(const std::string &Id) {
+    AttemptOrder Order;
+    Order.WireId_ = Id;
+    Order.EchoHeader_ = "X-Attempt";
+    Order.Address_ = Endpoint{"127.0.0.1", Server_.local_endpoint().port()};
+    Order.Deadline_ = Time_.now() + std::chrono::seconds(5);
+    Order.MaxAnswerBytes_ = 1'000;
+    Order.MaxIdleConnections_ = 1;
+    return Order;
+  }
+
+  AttemptEnd run(const AttemptOrder &Order) {
+    AttemptCanceller Canceller;
+    return Client_
+        .run(
+            Order, HttpRequest{"GET", "/a", {{"Host", "h"}}, ""},
+            [] { return true; }, Canceller)
+        .Report_.End_;
+  }
+
   /// Sends one attempt to a server that writes `Answer` and closes.
   AttemptEnd attempt(const std::string &Answer) {
     std::thread ServerThread([&] {
@@ -32,19 +54,11 @@
       asio::read_until(Connection, Request, "\r\n\r\n");
       asio::write(Connection, asio::buffer(Answer));
     });
-    AttemptOrder Order;
-    Order.WireId_ = "7-1";
-    Order.EchoHeader_ = "X-Attempt";
-    Order.Address_ = Endpoint{"127.0.0.1", Server_.local_endpoint().port()};
-    Order.Deadline_ = Time_.now() + std::chrono::seconds(5);
+    AttemptOrder Order = order("7-1");
     Order.RequiresNewConnection_ = true;
-    Order.MaxAnswerBytes_ = 1'000;
-    AttemptCanceller Canceller;
-    const AttemptResult Result = Client_.run(
-        Order, HttpRequest{"GET", "/a", {{"Host", "h"}}, ""},
-        [] { return true; }, Canceller);
+    const AttemptEnd End = run(Order);
     ServerThread.join();
-    return Result.Report_.End_;
+    return End;
   }
 };
 
@@ -101,3 +115,36 @@
                   std::to_string(std::string(End).size()) + "\r\n\r\n" + End) ==
           AttemptEnd::Answered);
 }
+
+// Guards against a connection whose list of carried ids grows without end.
+TEST(BackendClient, ConnectionIsReplacedWhenItsIdsAreFull) {
+  constexpr std::size_t Count = CarriedRequestIds::MaxIds + 1;
+  std::vector<std::size_t> Served;
+  std::thread ServerThread([&] {
+    std::size_t Total = 0;
+    while (Total < Count) {
+      asio::ip::tcp::socket Connection = Server_.accept();
+      Served.push_back(0);
+      asio::streambuf Request;
+      asio::error_code Ended;
+      while (Total < Count) {
+        const std::size_t Size =
+            asio::read_until(Connection, Request, "\r\n\r\n", Ended);
+        if (Ended)
+          break;
+        Request.consume(Size);
+        ++Served.back();
+        asio::write(Connection, asio::buffer("HTTP/1.1 200 OK\r\nX-Attempt: " +
+                                             std::to_string(++Total) +
+                                             "\r\nContent-Length: 0\r\n\r\n"));
+      }
+    }
+  });
+  std::size_t Answered = 0;
+  for (std::size_t Index = 1; Index <= Count; ++Index)
+    Answered += run(order(std::to_string(Index))) == AttemptEnd::Answered;
+  ServerThread.join();
+  CHECK_EQUAL(Count, Answered);
+  CHECK_EQUAL(2, Served.size());
+  CHECK_EQUAL(CarriedRequestIds::MaxIds, Served.front());
+}
