--- a/test/backend-client-test.cc
+++ b/test/backend-client-test.cc
@@ -37,7 +37,7 @@
     return Order;
   }
 
-  AttemptEnd run(const AttemptOrder &Order) {
+  AttemptEnd runAttempt(const AttemptOrder &Order) {
     AttemptCanceller Canceller;
     return Client_
         .run(
@@ -56,7 +56,7 @@
     });
     AttemptOrder Order = order("7-1");
     Order.RequiresNewConnection_ = true;
-    const AttemptEnd End = run(Order);
+    const AttemptEnd End = runAttempt(Order);
     ServerThread.join();
     return End;
   }
@@ -142,7 +142,8 @@
   });
   std::size_t Answered = 0;
   for (std::size_t Index = 1; Index <= Count; ++Index)
-    Answered += run(order(std::to_string(Index))) == AttemptEnd::Answered;
+    Answered +=
+        runAttempt(order(std::to_string(Index))) == AttemptEnd::Answered;
   ServerThread.join();
   CHECK_EQUAL(Count, Answered);
   CHECK_EQUAL(2, Served.size());
