GatewayCore: check a queued request's deadline in one place

In a planned stop, place() and drainQueue() each had a special case to send a request that may outlast the stop past the queue, to tryToPlace(), which refuses it. The decision about a request without a free target, placeQueued(), now refuses it, so both callers are as before the stop's rules.

--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -280,6 +280,8 @@
 Placement GatewayCore::placeQueued(GatewayRequest &Request, ServiceState &State,
                                    std::size_t Ahead, double Rate,
                                    TimePoint Now) {
+  if (!mayStillSend(Request))
+    return refusalFor(Request, Now);
   if (canBeServedInTime(Request, State, Ahead, Rate, Now))
     return QueuedForTarget{};
   return placeAsLastResort(Request, State, Now);
@@ -289,9 +291,8 @@
                              TimePoint Now) {
   ServiceState &State = findOrCreateService(Request->Service_);
   // Requests that are already queued are placed before a new one.
-  Placement Result = State.Queue_.empty() || !mayStillSend(*Request)
-                         ? tryToPlace(*Request, State, Now)
-                         : Placement(QueuedForTarget{});
+  Placement Result = State.Queue_.empty() ? tryToPlace(*Request, State, Now)
+                                          : Placement(QueuedForTarget{});
   if (!std::holds_alternative<QueuedForTarget>(Result))
     return Result;
   State.Queue_.push_back(Request);
@@ -389,9 +390,8 @@
   for (const std::shared_ptr<GatewayRequest> &Request : State.Queue_) {
     // Once one request finds no free slot, those behind it could only take the
     // slots of trials, so they are only checked against their deadlines.
-    Placement Result = IsFull && mayStillSend(*Request)
-                           ? Placement(QueuedForTarget{})
-                           : tryToPlace(*Request, State, Now);
+    Placement Result = IsFull ? Placement(QueuedForTarget{})
+                              : tryToPlace(*Request, State, Now);
     if (std::holds_alternative<QueuedForTarget>(Result)) {
       IsFull = true;
       Result = placeQueued(*Request, State, StillQueued.size(), Rate, Now);
