HttpClient: one function for the next response, and a flatter scan

Resetting the parser and the scan together stood twice, in completeOrSkip() and in restartAtSecond(). SplicedResponseScan::feedAfterEnd() had a branch for each state, two of which repeated what feedByte() does. Behaviour is the same; SplicedResponse (every cut) and GatewayAnswers pass unchanged.

--- a/include/kumquatpitch/http-client-connection.h
+++ b/include/kumquatpitch/http-client-connection.h
@@ -48,6 +48,7 @@
   void read();
   void handleRead(const asio::error_code &Error, std::size_t Size);
   void parse(std::string_view Bytes);
+  void expectNextResponse();
   bool restartAtSecond(std::string &Second);
   void handleHeldRead(const asio::error_code &Error, std::size_t Size);
   void handleEnd(const asio::error_code &Error);
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -232,6 +232,12 @@
   read();
 }
 
+/// Drops the parsed message, or what has been parsed of it.
+void HttpClientConnection::expectNextResponse() {
+  Parser_->take();
+  Scan_.begin(Options_.Echo_.Header_, CarriedIds_);
+}
+
 /// Drops a response that broke off, and sets `Second` to the bytes received of
 /// the one that follows it. The server may have sent the response again, whole.
 /// False if the call has failed.
@@ -241,8 +247,7 @@
     return false;
   }
   Second = Scan_.takeSecond();
-  Parser_->take();
-  Scan_.begin(Options_.Echo_.Header_, CarriedIds_);
+  expectNextResponse();
   return true;
 }
 
@@ -303,8 +308,7 @@
     fail(CallEnd::Broken, "too many responses that are not the request's");
     return true;
   }
-  Parser_->take();
-  Scan_.begin(Options_.Echo_.Header_, CarriedIds_);
+  expectNextResponse();
   return false;
 }
 
--- a/src/spliced-response.cc
+++ b/src/spliced-response.cc
@@ -51,21 +51,16 @@
 
 void SplicedResponseScan::feedAfterEnd(std::string_view Bytes) {
   for (const char Byte : Bytes) {
-    if (IsSpliced_) {
-      Second_.push_back(Byte);
-    } else if (IsInHead_) {
-      Second_.push_back(Byte);
-      IsSpliced_ = true;
-    } else if (Matched_ > 0) {
-      const std::size_t MatchedBefore = Matched_;
-      feedByte(Byte);
-      if (IsInHead_)
-        IsSpliced_ = true;
-      else if (Matched_ <= MatchedBefore)
-        return dismiss();
-    } else {
+    if (verdict() == Verdict::Whole)
       return;
-    }
+    const std::size_t MatchedBefore = Matched_;
+    // A head that began inside the response goes on here.
+    IsSpliced_ = IsSpliced_ || IsInHead_;
+    feedByte(Byte);
+    // Or a status line that began there has been completed.
+    IsSpliced_ = IsSpliced_ || IsInHead_;
+    if (!IsSpliced_ && Matched_ <= MatchedBefore)
+      return dismiss();
   }
 }
 
