--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -26,11 +26,15 @@
   return nullptr;
 }
 
+/// True for responses that never have a body, whatever their headers say.
+static bool hasNoBody(const HttpMessage &Response) {
+  return Response.Status_ == 204 || Response.Status_ == 304;
+}
+
 BodyFraming bodyFraming(const HttpMessage &Response) {
   if (Response.header("Transfer-Encoding"))
     return BodyFraming::Chunked;
-  const bool HasNoBody = Response.Status_ == 204 || Response.Status_ == 304;
-  return HasNoBody || Response.header("Content-Length")
+  return hasNoBody(Response) || Response.header("Content-Length")
              ? BodyFraming::Length
              : BodyFraming::UntilClose;
 }
@@ -90,15 +94,14 @@
   Text.append(http_status_str(static_cast<http_status>(Message.Status_)));
   Text.append("\r\n");
   appendHeaders(Message, Text);
-  const bool HasNoBody = Message.Status_ == 204 || Message.Status_ == 304;
-  if (!HasNoBody)
+  if (!hasNoBody(Message))
     Text.append("Content-Length: ")
         .append(std::to_string(Message.Body_.size()))
         .append("\r\n");
   if (CloseAfter)
     Text.append("Connection: close\r\n");
   Text.append("\r\n");
-  if (!OmitBody && !HasNoBody)
+  if (!OmitBody && !hasNoBody(Message))
     Text.append(Message.Body_);
   return Text;
 }
