Tests: a scripted target may be destroyed while reads are pending

The address sanitizer found a use after free in GatewayAnswers. A delayed part of an answer could likewise go to a socket of an earlier target. The product is not concerned.

ScriptedTarget now keeps its sockets, and its handlers do nothing once it is gone, so this holds for every test that replaces its target. Assertions are as before. With sanitizers, GatewayAnswers, GatewayFront, GatewayStop, BackendClient, SplicedResponse, SocketState, RequestDriver and HttpServer pass.

--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -27,6 +27,7 @@
   asio::ip::tcp::socket EarlyTarget_{Context_};
   asio::steady_timer ResetTimer_{Context_};
   std::string Booking_;
+  int PartsCall_ = 0; ///< Number of the current callTargetThatSends().
 
   /// Books with a body that the target does not read: it reads the beginning of
   /// the request, sends part of an answer without a length and calls
@@ -63,6 +64,7 @@
   std::string callTargetThatSends(const std::vector<std::string> &Parts,
                                   const std::string &Path,
                                   const std::string &Method) {
+    ++PartsCall_;
     startTarget([this, Parts](ScriptedTarget::Socket &Socket,
                               const std::string &Request) {
       if (!hasCompleteHead(Request))
@@ -89,11 +91,12 @@
     const std::shared_ptr<asio::steady_timer> Next =
         std::make_shared<asio::steady_timer>(Context_,
                                              std::chrono::milliseconds(5));
-    Next->async_wait(
-        [this, &Socket, Parts, Index, Next](const asio::error_code &) {
-          if (Target_)
-            sendParts(Socket, Parts, Index + 1);
-        });
+    Next->async_wait([this, &Socket, Parts, Index, Next,
+                      Call = PartsCall_](const asio::error_code &) {
+      // The socket belongs to the target of its call.
+      if (Target_ && Call == PartsCall_)
+        sendParts(Socket, Parts, Index + 1);
+    });
   }
 
   std::uint64_t counter(const std::string &Name) {
--- a/test/gateway-front-fixture.h
+++ b/test/gateway-front-fixture.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <set>
 #include <unistd.h>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -31,7 +32,8 @@
   return {asio::ip::make_address("127.0.0.1"), Port};
 }
 
-/// Accepts connections and passes the received bytes to a script.
+/// Accepts connections and passes the received bytes to a script. Its sockets
+/// stay valid until it is destroyed, which may be while reads are pending.
 class ScriptedTarget {
 public:
   using Socket = asio::ip::tcp::socket;
@@ -58,22 +60,28 @@
   };
 
   void accept() {
-    Acceptor_.async_accept(
-        [this](const asio::error_code &Error, Socket Accepted) {
-          if (Error)
-            return;
-          ++Accepted_;
-          read(std::make_shared<Connection>(std::move(Accepted)));
-          accept();
-        });
+    Acceptor_.async_accept([this](const asio::error_code &Error,
+                                  Socket Accepted) {
+      if (Error)
+        return;
+      ++Accepted_;
+      Connections_.push_back(std::make_shared<Connection>(std::move(Accepted)));
+      read(Connections_.back());
+      accept();
+    });
   }
 
   void read(const std::shared_ptr<Connection> &Source) {
     Source->Socket_.async_read_some(
         asio::buffer(Source->Buffer_),
-        [this, Source](const asio::error_code &Error, std::size_t Size) {
+        [this, Source, Lifetime = std::weak_ptr<const bool>(Lifetime_)](
+            const asio::error_code &Error, std::size_t Size) {
+          if (Lifetime.expired())
+            return;
           if (Error) {
             ++Closed_;
+            asio::error_code Ignored;
+            Source->Socket_.close(Ignored);
             return;
           }
           Source->Bytes_.append(Source->Buffer_.data(), Size);
@@ -88,6 +96,9 @@
 
   asio::ip::tcp::acceptor Acceptor_;
   Script OnRequest_;
+  std::vector<std::shared_ptr<Connection>> Connections_;
+  /// Expires with the target, so that its pending handlers do nothing.
+  std::shared_ptr<const bool> Lifetime_ = std::make_shared<const bool>(true);
   std::size_t Accepted_ = 0;
   std::size_t Handled_ = 0;
   int Closed_ = 0;
