Gateway: log and count what came with an answer

The users' record of 54 answers that ended early names neither the server nor what happened on its connection, and the log of a success cannot tell the three hypotheses of docs/incidents/early-ends.md apart.

A success now names an end that its connection told, with what the head had announced, an answer that was held, answers that were skipped before it, and bytes behind it. Bytes on an idle connection, until now dropped without a word, are logged with the id of its last request and counted.

A Transfer-Encoding other than chunked was reported as chunked although the answer ends with its connection.

CallReport and AnnouncedEnd are new; the two new tests of GatewayAnswers find no such counter without the change.

--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -37,6 +37,22 @@
   int SkippedResponses_ = 0; ///< Responses to other requests.
   bool IsEarly_ = false;     ///< Answered before the whole request was written.
   int CutResponses_ = 0;     ///< Responses that a second one interrupted.
+  /// The response ended like the beginning of another one, and counts as whole
+  /// because nothing followed.
+  bool WasHeld_ = false;
+  /// Bytes that arrived together with the end of the response and do not belong
+  /// to it.
+  std::size_t StrayBytes_ = 0;
+};
+
+/// Bytes that a server sent while its connection carried no call.
+struct IdleBytes {
+  Endpoint Server_;
+  std::string LastRequestId_; ///< Of the last call; empty if it had none.
+  std::string Start_;         ///< The first bytes.
+  std::size_t Size_ = 0;
+
+  bool operator==(const IdleBytes &) const = default;
 };
 
 /// The server to call, the timeouts and the limits of one call.
@@ -67,6 +83,7 @@
 class HttpClient {
 public:
   using Callback = std::function<void(CallResult)>;
+  using IdleBytesCallback = std::function<void(const IdleBytes &)>;
 
   /// Handle of a call in progress. Must not be used after the callback.
   class Call {
@@ -92,6 +109,12 @@
 
   std::size_t idleConnections() const;
 
+  /// `OnIdleBytes` is called when bytes arrive on an idle connection, which is
+  /// then closed.
+  void setOnIdleBytes(IdleBytesCallback OnIdleBytes) {
+    OnIdleBytes_ = std::move(OnIdleBytes);
+  }
+
   /// Limits the bytes of bodies that all calls in progress hold together. A
   /// call that exceeds it is broken.
   void setMaxBufferedBytes(std::uint64_t Limit) { MaxBufferedBytes_ = Limit; }
@@ -107,6 +130,7 @@
   void removeIdle(const HttpClientConnection *Connection);
 
   asio::io_context &Context_;
+  IdleBytesCallback OnIdleBytes_;
   std::uint64_t MaxBufferedBytes_ = 64 << 20;
   std::uint64_t BufferedBytes_ = 0; ///< Sum of all calls in progress.
   /// Idle connections by server, the most recently used one at the end.
--- a/include/kumquatpitch/http-text.h
+++ b/include/kumquatpitch/http-text.h
@@ -13,6 +13,9 @@
 /// The text without spaces and tabs at both ends.
 std::string_view trimWhitespace(std::string_view Text);
 
+/// True if the comma-separated list contains the name, ignoring case.
+bool listContains(std::string_view List, std::string_view Name);
+
 } // namespace kumquatpitch
 
 #endif
--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -24,6 +24,7 @@
   HeaderFields Headers_;
   std::string Body_;
   bool KeepAlive_ = true;
+  bool IsHttp10_ = false; ///< Responses only: HTTP/1.0.
 
   bool operator==(const HttpMessage &) const = default;
 
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -2,6 +2,7 @@
 
 #include "kumquatpitch/gateway-front.h"
 
+#include "kumquatpitch/call-report.h"
 #include "kumquatpitch/parse-number.h"
 
 #include <asio/steady_timer.hpp>
@@ -327,26 +328,13 @@
       Dependencies_.Client_.closeIdle(Attempt.Target_.Address_);
     if (Result.End_ != CallEnd::Answered)
       return logAttempt(Attempt, attemptOutcomeName(Outcome), Result.Detail_);
-    const BodyFraming Framing = bodyFraming(Result.Answer_);
-    Dependencies_.Metrics_.count(std::string("answers_") +
-                                 bodyFramingName(Framing));
-    if (Result.IsEarly_)
-      Dependencies_.Metrics_.count("answers_early");
+    countAnswer(Dependencies_.Metrics_, Result);
     const bool IsRoutine = Outcome == AttemptOutcome::Success &&
                            !Attempt.IsTrial_ && !Attempt.IsResend_ &&
-                           !Result.IsEarly_ && Result.CutResponses_ == 0 &&
-                           Framing != BodyFraming::UntilClose;
+                           isRoutineAnswer(Result);
     if (!IsRoutine || Dependencies_.Log_.admitSampledLine())
-      logAttempt(Attempt, attemptOutcomeName(Outcome), describeAnswer(Result));
-  }
-
-  std::string describeAnswer(const CallResult &Result) const {
-    const HttpMessage &Answer = Result.Answer_;
-    return "status " + std::to_string(Answer.Status_) + " load " +
-           reportedLoadText(Answer) + " " +
-           bodyFramingName(bodyFraming(Answer)) + " " +
-           std::to_string(Answer.Body_.size()) +
-           (Result.IsEarly_ ? " early" : "");
+      logAttempt(Attempt, attemptOutcomeName(Outcome),
+                 describeAnswer(Result, reportedLoadText(Result.Answer_)));
   }
 
   std::string reportedLoadText(const HttpMessage &Answer) const {
@@ -497,9 +485,13 @@
         if (!Waiting_.empty())
           resumeWaitingRequests();
       });
+  Dependencies_.Client_.setOnIdleBytes([this](const IdleBytes &Received) {
+    reportIdleBytes(Dependencies_.Log_, Dependencies_.Metrics_, Received);
+  });
 }
 
 GatewayFront::~GatewayFront() {
+  Dependencies_.Client_.setOnIdleBytes(nullptr);
   Dependencies_.Timers_.unsubscribe(ResumeSubscription_);
 }
 
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -27,6 +27,8 @@
 /// How often a connection that the server has ended is checked for the delivery
 /// of the request, which the system does not report.
 constexpr Duration EndCheckPeriod = std::chrono::milliseconds(5);
+/// Bytes received on an idle connection that are reported: a status line.
+constexpr std::size_t IdleBytesStart = 16;
 /// TCP_USER_TIMEOUT: the connection is closed if the other end leaves sent
 /// data unacknowledged for this time.
 constexpr int UserTimeoutMs = 3'000;
@@ -195,6 +197,10 @@
     // closed it, or it sent stray bytes.
     close();
     Client_.removeIdle(this);
+    if (!Error && Client_.OnIdleBytes_)
+      Client_.OnIdleBytes_(IdleBytes{
+          ServerEndpoint_, Options_.Echo_.Id_,
+          std::string(Buffer_.data(), std::min(Size, IdleBytesStart)), Size});
     return;
   }
   if (IsHeld_)
@@ -362,6 +368,8 @@
   Result.IsEarly_ = !IsWritten_;
   Result.SkippedResponses_ = OtherResponses_;
   Result.CutResponses_ = CutResponses_;
+  Result.WasHeld_ = IsHeld_;
+  Result.StrayBytes_ = Rest.size();
   Result.Answer_ = Parser_->take();
   countBuffered(0);
   Timer_.cancel();
--- a/src/http-message.cc
+++ b/src/http-message.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/http-message.h"
 
+#include "kumquatpitch/http-text.h"
+
 #include <algorithm>
 #include <cstring>
 #include <httplib.h>
@@ -72,23 +74,6 @@
   return false;
 }
 
-/// True if the comma-separated list contains the name.
-bool listContains(const std::string &List, std::string_view Name) {
-  std::size_t Start = 0;
-  while (Start <= List.size()) {
-    const std::size_t Comma = std::min(List.find(',', Start), List.size());
-    std::string_view Item = std::string_view(List).substr(Start, Comma - Start);
-    while (!Item.empty() && Item.front() == ' ')
-      Item.remove_prefix(1);
-    while (!Item.empty() && Item.back() == ' ')
-      Item.remove_suffix(1);
-    if (namesEqual(Item, Name))
-      return true;
-    Start = Comma + 1;
-  }
-  return false;
-}
-
 void appendField(std::string &Text, std::string_view Name,
                  std::string_view Value) {
   Text.append(Name).append(": ").append(Value).append("\r\n");
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/message-parser.h"
 
+#include "kumquatpitch/http-text.h"
+
 #include <algorithm>
 #include <strings.h>
 
@@ -32,8 +34,11 @@
 }
 
 BodyFraming bodyFraming(const HttpMessage &Response) {
-  if (Response.header("Transfer-Encoding"))
-    return BodyFraming::Chunked;
+  // Only a last coding of "chunked" tells the end of the body.
+  if (const std::string *Coding = Response.header("Transfer-Encoding"))
+    return listContains(Coding->substr(Coding->rfind(',') + 1), "chunked")
+               ? BodyFraming::Chunked
+               : BodyFraming::UntilClose;
   return hasNoBody(Response) || Response.header("Content-Length")
              ? BodyFraming::Length
              : BodyFraming::UntilClose;
@@ -230,6 +235,8 @@
         http_method_str(static_cast<http_method>(Parser->method));
   else
     Self.Message_.Status_ = Parser->status_code;
+  Self.Message_.IsHttp10_ = Self.Kind_ == Kind::Response &&
+                            Parser->http_major == 1 && Parser->http_minor == 0;
   Self.Message_.KeepAlive_ = http_should_keep_alive(Parser) != 0;
   if ((Parser->flags & F_CONTENTLENGTH) != 0 &&
       Parser->content_length > Self.MaxBodyBytes_)
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -359,6 +359,33 @@
   CHECK(Received_.find("HTTP/1.1 200") == 0);
 }
 
+// Guards against a late second answer that no log line or counter tells of: it
+// comes while its connection is idle.
+TEST(GatewayAnswers, SecondAnswerOnAnIdleConnectionIsCounted) {
+  const std::string Own = answer("id1", "body");
+  ScriptedTarget::Socket *Connection = nullptr;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    Connection = &Socket;
+    sendText(Socket, Own);
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("body"));
+  sendText(*Connection, Own);
+  CHECK(
+      runUntil([this] { return counter("idle_connections_with_bytes") == 1; }));
+}
+
+// The same in the read that completes the answer.
+TEST(GatewayAnswers, BytesBehindAnAnswerAreCounted) {
+  const std::string Own = answer("id1", "body");
+  const std::string Got = callTargetThatSends({Own + Own}, "/book/1", "POST");
+  CHECK(endsWith(Got, "\r\n\r\nbody"));
+  CHECK_EQUAL(1, counter("answers_with_stray_bytes"));
+}
+
 // Guards against failing answers whose bodies quote a response or end like the
 // beginning of one.
 TEST(GatewayAnswers, BodiesThatQuoteAResponseAreDelivered) {
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -114,3 +114,13 @@
                Framing(200, {{"Transfer-Encoding", "chunked"}}).c_str());
   STRCMP_EQUAL("until_close", Framing(200, {}).c_str());
 }
+
+// Guards against reporting an answer that ends with its connection as chunked.
+TEST(MessageParser, CodingsOtherThanChunkedDoNotTellTheEnd) {
+  HttpMessage Response;
+  Response.Status_ = 200;
+  Response.Headers_ = {{"Transfer-Encoding", "gzip"}};
+  CHECK(bodyFraming(Response) == BodyFraming::UntilClose);
+  Response.Headers_ = {{"Transfer-Encoding", "gzip, Chunked"}};
+  CHECK(bodyFraming(Response) == BodyFraming::Chunked);
+}
