serve: decide as the gateway does whether an answer is whole

An answer into which a second one was written that broke off before its id was taken: the library counts bytes, and the scan finds a second answer by its id only. response-end decides now, also on what follows the answer. A connection on which bytes followed an answer went back to the pool with those bytes dropped, so that the next exchange could begin in their middle; it is closed.

HeadThatBrokeOffInsideABodyIsNotItsBody and ConnectionWithBytesBehindTheAnswerIsNotUsedAgain are new. The wait for what follows is bounded as a whole: a server that writes a byte each 240 ms held a worker until 32 KB were full.

--- a/include/kumquatpitch/backend-connection.h
+++ b/include/kumquatpitch/backend-connection.h
@@ -23,8 +23,10 @@
   bool IsNew_ = false;         ///< The connection was opened for this exchange.
   bool IsWriteDenied_ = false; ///< MayWrite returned false.
   bool IsTooLarge_ = false;    ///< The answer exceeded the limit.
-  bool IsSpliced_ = false;     ///< Another answer begins inside the answer.
-  httplib::Response Response_; ///< Valid when Error_ is Success.
+  /// False if the answer may hold bytes of another one.
+  bool IsWhole_ = false;
+  bool HasBytesBehind_ = false; ///< Bytes followed the answer.
+  httplib::Response Response_;  ///< Valid when Error_ is Success.
 };
 
 class BackendConnection : public httplib::ClientImpl {
--- a/include/kumquatpitch/backend-stream.h
+++ b/include/kumquatpitch/backend-stream.h
@@ -5,6 +5,7 @@
 #ifndef KUMQUATPITCH_BACKEND_STREAM_H
 #define KUMQUATPITCH_BACKEND_STREAM_H
 
+#include "kumquatpitch/response-end.h"
 #include "kumquatpitch/spliced-response.h"
 #include "kumquatpitch/time-point.h"
 
@@ -20,9 +21,11 @@
   BackendStream(socket_t Socket, Duration Timeout, SplicedResponseScan &Scan)
       : Socket_(Socket), Timeout_(Timeout), Scan_(Scan) {}
 
-  /// Shows the scan what follows the complete answer, and waits for it while
-  /// the scan is undecided.
-  void scanAfterAnswer();
+  /// Decides whether the complete answer is free of another one's bytes. Waits
+  /// for what follows it where this has to tell.
+  bool decideAnswerIsWhole();
+
+  std::size_t bytesBehindAnswer() const { return Behind_.total(); }
 
   bool is_readable() const override;
   bool is_writable() const override;
@@ -34,9 +37,6 @@
 
 private:
   static constexpr std::size_t BufferBytes = 4'096;
-  /// How long to wait for what follows an undecided answer; longer than the
-  /// 200 ms after which a lost packet is sent again.
-  static constexpr Duration HoldTime = std::chrono::milliseconds(250);
 
   bool isReady(short Events, Duration Timeout) const;
   /// Fills the empty buffer. Returns 0 at the end of the stream and -1 on an
@@ -46,6 +46,7 @@
   const socket_t Socket_;
   const Duration Timeout_;
   SplicedResponseScan &Scan_;
+  BytesBehindResponse Behind_; ///< Of the complete answer.
   std::array<char, BufferBytes> Buffer_;
   std::size_t Begin_ = 0; ///< Of the bytes that were received and not read.
   std::size_t End_ = 0;
--- a/src/backend-client.cc
+++ b/src/backend-client.cc
@@ -184,8 +184,7 @@
     Result.Report_.End_ = AttemptEnd::NotDelimited;
     return Result;
   }
-  const bool IsOwn =
-      !Exchange.IsSpliced_ && isAnswerTo(Order, Exchange.Response_);
+  const bool IsOwn = Exchange.IsWhole_ && isAnswerTo(Order, Exchange.Response_);
   Result.Answer_ = makeAnswer(Exchange.Response_, Request.Method_);
   Result.Report_.HttpStatus_ = Result.Answer_.Status_;
   Result.Report_.Load_ = reportedLoad(Result.Answer_, Order.LoadHeader_);
@@ -198,7 +197,9 @@
   Result.Report_.End_ = hasMarker(Result.Answer_, Order.Refusal_)
                             ? AttemptEnd::Refused
                             : AttemptEnd::Answered;
-  release(std::move(Connection), Order.MaxIdleConnections_);
+  // The stream has read them: the next exchange would begin in their middle.
+  if (!Exchange.HasBytesBehind_)
+    release(std::move(Connection), Order.MaxIdleConnections_);
   return Result;
 }
 
--- a/src/backend-connection.cc
+++ b/src/backend-connection.cc
@@ -53,7 +53,6 @@
   MayBeWriting_ = false;
   MayWrite_ = nullptr;
   Current_ = nullptr;
-  Result.IsSpliced_ = Scan_.verdict() == SplicedResponseScan::Verdict::Spliced;
   return Result;
 }
 
@@ -62,8 +61,10 @@
     std::function<bool(httplib::Stream &)> HandleRequest) {
   BackendStream Stream(Opened.sock, StreamTimeout_, Scan_);
   const bool IsAnswered = HandleRequest(Stream);
-  if (IsAnswered)
-    Stream.scanAfterAnswer();
+  if (IsAnswered) {
+    Current_->IsWhole_ = Stream.decideAnswerIsWhole();
+    Current_->HasBytesBehind_ = Stream.bytesBehindAnswer() > 0;
+  }
   return IsAnswered;
 }
 
--- a/src/backend-stream.cc
+++ b/src/backend-stream.cc
@@ -3,6 +3,8 @@
 #include "kumquatpitch/backend-stream.h"
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -22,13 +24,28 @@
   return Size;
 }
 
-void BackendStream::scanAfterAnswer() {
-  do {
-    Scan_.feedAfterEnd(
-        std::string_view(Buffer_.data() + Begin_, End_ - Begin_));
+bool BackendStream::decideAnswerIsWhole() {
+  using Clock = std::chrono::steady_clock;
+  // An answer without a length is not delivered, so that the framing is known.
+  ResponseEvidence Evidence;
+  std::optional<Clock::time_point> HoldEnd;
+  while (true) {
+    const std::string_view Received(Buffer_.data() + Begin_, End_ - Begin_);
     Begin_ = End_;
-  } while (Scan_.verdict() == SplicedResponseScan::Verdict::Undecided &&
-           fill(HoldTime) > 0);
+    Scan_.feedAfterEnd(Received);
+    Behind_.add(Received);
+    Evidence.Findings_ = Scan_.findings();
+    Evidence.StrayBytes_ = Behind_.strayBytes();
+    const ResponseDecision Decision = decideResponseEnd(Evidence);
+    if (Decision.End_ != ResponseEnd::Hold)
+      return Decision.End_ == ResponseEnd::Whole;
+    if (!HoldEnd)
+      HoldEnd = Clock::now() + Decision.HoldTime_;
+    const Duration Left =
+        std::max(Duration::zero(),
+                 std::chrono::duration_cast<Duration>(*HoldEnd - Clock::now()));
+    Evidence.WasHeld_ = fill(Left) <= 0;
+  }
 }
 
 bool BackendStream::is_readable() const {
--- a/test/backend-client-test.cc
+++ b/test/backend-client-test.cc
@@ -109,6 +109,42 @@
   CHECK(attempt("HTTP/1.1 503 " + Own) == AttemptEnd::Mismatched);
 }
 
+// Guards against taking the first bytes of a second answer, cut before the id,
+// for a part of the body. The answer's own last bytes then come behind its end.
+TEST(BackendClient, HeadThatBrokeOffInsideABodyIsNotItsBody) {
+  const std::string Own = "HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\n"
+                          "Content-Length: 40\r\n\r\n" +
+                          std::string(40, 'b');
+  const std::string Other = "HTTP/1.1 200 OK\r\nContent-Type: text";
+  for (std::size_t Size = 5; Size <= Other.size(); ++Size)
+    for (const std::size_t Left : {1, 20, 40}) {
+      const std::size_t At = Own.size() - Left;
+      CHECK_TEXT(attempt(Own.substr(0, At) + Other.substr(0, Size) +
+                         Own.substr(At)) == AttemptEnd::Mismatched,
+                 (Other.substr(0, Size) + ", " + std::to_string(Left) + " left")
+                     .c_str());
+    }
+}
+
+// Guards against reading the answer to the next request in the middle of a
+// second copy of which the stream has read the beginning.
+TEST(BackendClient, ConnectionWithBytesBehindTheAnswerIsNotUsedAgain) {
+  const std::string Own = "HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\n"
+                          "Content-Length: 2\r\n\r\nok";
+  std::thread ServerThread([&] {
+    asio::ip::tcp::socket Connection = Server_.accept();
+    asio::streambuf Request;
+    asio::read_until(Connection, Request, "\r\n\r\n");
+    asio::write(Connection, asio::buffer(Own + Own));
+    std::array<char, 1> Ignored;
+    asio::error_code Ended;
+    Connection.read_some(asio::buffer(Ignored), Ended);
+  });
+  CHECK(runAttempt(order("7-1")) == AttemptEnd::Answered);
+  CHECK_EQUAL(0, Client_.idleConnections());
+  ServerThread.join();
+}
+
 TEST(BackendClient, BodyThatEndsLikeAStatusLineIsTaken) {
   for (const char *End : {"H", "HTTP/1.1 200 OK"})
     CHECK(attempt("HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\nContent-Length: " +
