Gateway: pass an answer without a length on without one

Cause: an answer without a length is complete at any orderly end of its connection, and the host then wrote a Content-Length of what it had. A process that is killed ends its connections, and an element on the way may turn a reset into an end: the host told its caller more than it knew.

Now such an answer goes on without a length, and the caller's connection ends after it; behind it pipelined requests that have been passed on would go unanswered, so then it fails. It also fails if its end was not to be expected: its head announced to keep the connection, or announced nothing and most of the server's latest answers state their ends (FramingHistory).

Not taken: to ask a second target for each repeatable answer without a length. It would double the work of a service that always answers so.

--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -25,6 +25,9 @@
   std::string Body_;
   bool KeepAlive_ = true;
   bool IsHttp10_ = false; ///< Responses only: HTTP/1.0.
+  /// Responses only: nothing but the end of the connection tells the end of the
+  /// body. Set by a relay that cannot know the length, either.
+  bool EndsWithConnection_ = false;
 
   bool operator==(const HttpMessage &) const = default;
 
@@ -52,7 +55,8 @@
 /// Serialize a request or a response. The message's hop-by-hop headers,
 /// Content-Length and Expect are left out; Content-Length is set from the body
 /// where a body is allowed. `OmitBody`, for responses to HEAD, drops the body
-/// but not its length.
+/// but not its length. A response that ends with its connection is written
+/// without a length; `CloseAfter` has to be true then.
 std::string writeRequest(const HttpMessage &Message);
 /// The request without its body, which has `BodyBytes`.
 std::string writeRequestHead(const HttpMessage &Message,
--- a/include/kumquatpitch/response-end.h
+++ b/include/kumquatpitch/response-end.h
@@ -37,6 +37,8 @@
 struct ResponseEvidence {
   BodyFraming Framing_ = BodyFraming::Length;
   AnnouncedEnd AnnouncedEnd_ = AnnouncedEnd::Nothing;
+  /// The server's other answers state their ends.
+  bool ServerFramesAnswers_ = false;
   SplicedResponseScan::Findings Findings_;
   /// Bytes received behind the response that are not another response.
   std::size_t StrayBytes_ = 0;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -365,7 +365,12 @@
               Outcome::Ran, Answer.Status_);
     if (IsFailure)
       logEnd("delivered_failure", Answer.Status_, ResultCode::Ok);
-    Exchange_->answer(Answer);
+    HttpMessage Relayed = Answer;
+    // The host knows no more than the target told: a length would state that
+    // the answer is whole.
+    Relayed.EndsWithConnection_ =
+        bodyFraming(Answer) == BodyFraming::UntilClose;
+    Exchange_->answer(std::move(Relayed));
   }
 
   void refuse(const GatewayRefusal &Refusal) {
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -102,6 +102,8 @@
 
     const std::optional<HttpMessage> &response() const { return Response_; }
 
+    void replaceResponse(HttpMessage Other) { Response_ = std::move(Other); }
+
   private:
     std::weak_ptr<HttpSession> Session_;
     HttpMessage Request_;
@@ -236,6 +238,8 @@
     while (!Waiting_.empty() && Waiting_.front()->response()) {
       const std::shared_ptr<Exchange> First = Waiting_.front();
       Waiting_.pop_front();
+      if (First->response()->EndsWithConnection_)
+        endAfter(*First);
       const bool IsLast = Phase_.responseQueued(
           !Waiting_.empty() || !Unparsed_.empty(), Server_.IsDraining_);
       const bool OmitBody = First->request().Method_ == "HEAD";
@@ -244,6 +248,17 @@
     holdBodies(); // Never more than before.
   }
 
+  /// Makes a response without a length the last one. Accepted requests that
+  /// wait behind it have been passed on and are owed their answers: then the
+  /// connection cannot end here, and the response fails.
+  void endAfter(Exchange &Ended) {
+    if (!Waiting_.empty())
+      return Ended.replaceResponse(
+          Server_.Handler_.reject(ResultCode::BackendBroken));
+    Phase_.acceptNoMore();
+    Unparsed_.clear();
+  }
+
   void write() {
     if (IsWriting_ || Outgoing_.empty() || IsClosed_)
       return;
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -99,7 +99,7 @@
   Text.append(http_status_str(static_cast<http_status>(Message.Status_)));
   Text.append("\r\n");
   appendHeaders(Message, Text);
-  if (!hasNoBody(Message))
+  if (!hasNoBody(Message) && !Message.EndsWithConnection_)
     Text.append("Content-Length: ")
         .append(std::to_string(Message.Body_.size()))
         .append("\r\n");
--- a/src/response-end.cc
+++ b/src/response-end.cc
@@ -24,8 +24,17 @@
 }
 
 /// Without a length, everything up to the end of the connection counts as the
-/// body.
-ResponseDecision decideUnframed(const SplicedResponseScan::Findings &Found) {
+/// body. That end has to be one that the server meant: a process that is killed
+/// ends its connections, too, and on the way a reset may become an end.
+ResponseDecision decideUnframed(const ResponseEvidence &Evidence) {
+  const SplicedResponseScan::Findings &Found = Evidence.Findings_;
+  if (Evidence.AnnouncedEnd_ == AnnouncedEnd::KeepOpen)
+    return broken("connection ended that was to stay open, in a response "
+                  "without a length");
+  if (Evidence.AnnouncedEnd_ == AnnouncedEnd::Nothing &&
+      Evidence.ServerFramesAnswers_)
+    return broken("connection ended without announcement, in a response "
+                  "without a length of a server that states lengths");
   if (Found.IsLikely_)
     return broken("response ends inside a second one");
   if (Found.HasStatusLine_)
@@ -63,9 +72,8 @@
 ResponseDecision decideResponseEnd(const ResponseEvidence &Evidence) {
   if (Evidence.Findings_.Verdict_ == SplicedResponseScan::Verdict::Spliced)
     return broken("second response inside the response");
-  return Evidence.Framing_ == BodyFraming::UntilClose
-             ? decideUnframed(Evidence.Findings_)
-             : decideFramed(Evidence);
+  return Evidence.Framing_ == BodyFraming::UntilClose ? decideUnframed(Evidence)
+                                                      : decideFramed(Evidence);
 }
 
 } // namespace kumquatpitch
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -413,6 +413,79 @@
   CHECK(endsWith(Got, "\r\n\r\nspeaks HTTP/1.1 here"));
 }
 
+// Guards against stating a length that the host does not know: an answer that
+// its server ended halfway would look whole.
+TEST(GatewayAnswers, UnframedAnswerIsPassedOnWithoutALength) {
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket, "HTTP/1.1 200 OK\r\n" + idHeader("id1") + Signature +
+                         "Connection: close\r\n\r\nto the end");
+    Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntil([this] { return IsEnded_; }));
+  CHECK(endsWith(Received_, "\r\n\r\nto the end"));
+  CHECK(!contains(Received_, "Content-Length"));
+  CHECK(contains(Received_, "Connection: close\r\n"));
+}
+
+// Guards against taking the end of a process, or a reset that became an end on
+// the way, for the end of an answer without a length.
+TEST(GatewayAnswers, UnframedAnswerOnAConnectionThatWasToStayIsAFailure) {
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket, "HTTP/1.1 200 OK\r\n" + idHeader("id1") + Signature +
+                         "Keep-Alive: timeout=5\r\n\r\nfirst half");
+    Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(!contains(Received_, "first half"));
+}
+
+// The same where the target says nothing of the end, but states the lengths of
+// its other answers.
+TEST(GatewayAnswers, UnframedAnswerOfATargetThatStatesLengthsIsAFailure) {
+  const std::string Start = "HTTP/1.1 200 OK\r\n" + idHeader("id2") + Signature;
+  bookTwice(Start + "\r\nsecond half", true);
+  Received_.clear();
+  CHECK(runUntilReceived("HTTP/1.1 502"));
+  CHECK(!contains(Received_, "second half"));
+}
+
+TEST(GatewayAnswers, AnnouncedUnframedAnswerOfSuchATargetIsDelivered) {
+  const std::string Start = "HTTP/1.1 200 OK\r\n" + idHeader("id2") + Signature;
+  bookTwice(Start + "Connection: close\r\n\r\nsecond", true);
+  Received_.clear();
+  CHECK(runUntilReceived("second"));
+  CHECK(Received_.find("HTTP/1.1 200") == 0);
+}
+
+// Guards against ending a caller's connection with an answer without a length
+// while requests behind it run.
+TEST(GatewayAnswers, UnframedAnswerDoesNotEndAConnectionWithFurtherRequests) {
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Id = requestIdOf(Request);
+    if (Id == "id1") {
+      sendText(Socket, "HTTP/1.1 200 OK\r\n" + idHeader(Id) + Signature +
+                           "Connection: close\r\n\r\nto the end");
+      Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
+    } else {
+      sendText(Socket, answer(Id, "second"));
+    }
+    return true;
+  });
+  call(request("/look/1", "id1") + request("/look/2", "id2"));
+  CHECK(runUntilReceived("second"));
+  CHECK(Received_.find("HTTP/1.1 502") == 0);
+}
+
 // Guards against a late second answer that no log line or counter tells of: it
 // comes while its connection is idle.
 TEST(GatewayAnswers, SecondAnswerOnAnIdleConnectionIsCounted) {
--- a/test/response-end-test.cc
+++ b/test/response-end-test.cc
@@ -85,3 +85,18 @@
   Evidence_.Framing_ = BodyFraming::UntilClose;
   checkEnd(ResponseEnd::Broken);
 }
+
+// Guards against taking any end of a connection for the end of an answer
+// without a length.
+TEST(ResponseEnd, EndThatWasNotToBeExpectedBreaks) {
+  Evidence_.Framing_ = BodyFraming::UntilClose;
+  Evidence_.IsConnectionEnded_ = true;
+  checkEnd(ResponseEnd::Whole);
+  Evidence_.ServerFramesAnswers_ = true;
+  checkEnd(ResponseEnd::Broken);
+  Evidence_.AnnouncedEnd_ = AnnouncedEnd::Close;
+  checkEnd(ResponseEnd::Whole);
+  Evidence_.ServerFramesAnswers_ = false;
+  Evidence_.AnnouncedEnd_ = AnnouncedEnd::KeepOpen;
+  checkEnd(ResponseEnd::Broken);
+}
