--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -282,7 +282,7 @@
 // rest of the first answer may follow, and fill the copy where it broke off.
 TEST(GatewayAnswers, CopyBehindAnAnswerThatBrokeOffIsAFailure) {
   const std::string Own = answer("id1", "a body of thirty-two characters.");
-  int Cases = 0;
+  std::uint64_t Cases = 0;
   for (std::size_t Missing = 1; Missing < Own.size(); Missing += 3, ++Cases) {
     const std::string Bytes = Own.substr(0, Own.size() - Missing) + Own;
     const std::string Got = callTargetThatSends({Bytes}, "/book/1", "POST");
