Tests: a server that ends its connection does not block a failing test

BackendClient.ConnectionWithBytesBehindTheAnswerIsNotUsedAgain waited for the client to close, which it does not do without the change that the test guards.

--- a/test/backend-client-test.cc
+++ b/test/backend-client-test.cc
@@ -136,13 +136,11 @@
     asio::streambuf Request;
     asio::read_until(Connection, Request, "\r\n\r\n");
     asio::write(Connection, asio::buffer(Own + Own));
-    std::array<char, 1> Ignored;
-    asio::error_code Ended;
-    Connection.read_some(asio::buffer(Ignored), Ended);
   });
-  CHECK(runAttempt(order("7-1")) == AttemptEnd::Answered);
-  CHECK_EQUAL(0, Client_.idleConnections());
+  const AttemptEnd End = runAttempt(order("7-1"));
   ServerThread.join();
+  CHECK(End == AttemptEnd::Answered);
+  CHECK_EQUAL(0, Client_.idleConnections());
 }
 
 TEST(BackendClient, BodyThatEndsLikeAStatusLineIsTaken) {
