gateway-soak: second copies of answers and answers without a length

The targets' faulty answers were a half one and the previous answer before the own one. Faulty servers also write a second copy into the middle of an answer or up to 450 ms behind it, whole or cut, and answer without a length: whole with `Connection: close`, or cut although `Keep-Alive` announces that the connection stays.

The new faults have random numbers of their own, so that the seeds keep their order of the other faults. The choice among the older faults moves to the target, unchanged.

--- a/test/gateway-soak.cc
+++ b/test/gateway-soak.cc
@@ -9,6 +9,7 @@
 // Prints the seed; exits with status 1 if a guarantee was violated.
 
 #include "child-process.h"
+#include "soak-answer-faults.h"
 #include "soak-proxy.h"
 #include "soak-store.h"
 #include "soak-target.h"
@@ -81,7 +82,11 @@
       : Binary_(std::move(Binary)), Seed_(Seed), DurationS_(DurationS),
         Random_(Seed), PlatformRandom_(~Seed),
         NetworkPrefix_("127." + std::to_string(10 + getpid() % 200) + "."),
-        Store_(Context_), StoreServer_(Context_, Store_), Client_(Context_) {
+        Store_(Context_), StoreServer_(Context_, Store_), Client_(Context_),
+        AnswerFaults_(Context_, Seed,
+                      [this](std::uint64_t Number) -> SoakTarget & {
+                        return *Targets_[Number % Targets_.size()].Server_;
+                      }) {
     Directory_ = std::filesystem::temp_directory_path() /
                  ("gateway-soak-" + std::to_string(Seed) + "-" +
                   std::to_string(getpid()));
@@ -103,15 +108,23 @@
         scheduleCall();
       injectNextFault();
       injectNextPlatformFault();
+      AnswerFaults_.start();
+    });
+    schedule(DurationS_ - RecoveryS, [this] {
+      IsRecovering_ = true;
+      AnswerFaults_.stop();
     });
-    schedule(DurationS_ - RecoveryS, [this] { IsRecovering_ = true; });
     schedule(DurationS_, [this] { Context_.stop(); });
     Context_.run();
     checkExecutions();
+    int FaultyAnswers = 0;
+    for (const TargetEntry &Target : Targets_)
+      FaultyAnswers += Target.Server_->faultyAnswers();
     std::printf("seed %llu: %d calls, %d served, %d refused, %d faults, "
-                "%zu broken promises\n",
+                "%d faulty answers, %zu broken promises\n",
                 static_cast<unsigned long long>(Seed_), Calls_, Served_,
-                Refused_, FaultCount_, Violations_.size());
+                Refused_, FaultCount_ + AnswerFaults_.count(), FaultyAnswers,
+                Violations_.size());
     for (const std::string &Violation : Violations_)
       std::printf("  %s\n", Violation.c_str());
     std::error_code Ignored;
@@ -622,24 +635,8 @@
   }
 
   void injectTargetFault() {
-    SoakTarget::Faults Faults;
-    switch (randomBelow(5)) {
-    case 0:
-      Faults.Fail_ = 85;
-      break;
-    case 1:
-      Faults.Cut_ = 40;
-      break;
-    case 2:
-      Faults.Reset_ = 40;
-      break;
-    case 3:
-      Faults.Extra_ = 50;
-      break;
-    case 4:
-      Faults.Silent_ = 50;
-      break;
-    }
+    const SoakTarget::Faults Faults =
+        SoakTarget::Faults::ofKind(randomBelow(5));
     const std::size_t Index = randomBelow(Targets_.size());
     Targets_[Index].Server_->setFaults(Faults);
     schedule(1 + static_cast<double>(randomBelow(2'000)) / 1'000,
@@ -702,6 +699,7 @@
   HttpClient Client_;
   std::unique_ptr<SoakProxy> StoreProxy_;
   std::vector<TargetEntry> Targets_;
+  SoakAnswerFaults AnswerFaults_;
   std::vector<HostProcess> Hosts_;
   std::map<std::string, ExecutionRecord> Executions_;
   std::set<std::string> RefusedIds_;
--- a/test/soak-target.h
+++ b/test/soak-target.h
@@ -6,6 +6,7 @@
 
 #include "kumquatpitch/message-parser.h"
 
+#include "soak-answer.h"
 #include "soak-rate-limit.h"
 
 #include <array>
@@ -18,6 +19,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace kumquatpitch::test {
 
@@ -28,6 +30,7 @@
   int Started_ = 0;
   int Finished_ = 0;    ///< Responses that were written completely.
   std::string Service_; ///< Service of the last execution.
+  std::string Answers_; ///< Names of what was written for it, in order.
 };
 
 /// Body of the response to a request; long enough to be truncated.
@@ -49,6 +52,19 @@
     int Reset_ = 0;  ///< Connection reset after the work.
     int Extra_ = 0;  ///< The previous response is sent again first.
     int Silent_ = 0; ///< No response.
+
+    /// One of the faults alone.
+    static Faults ofKind(std::uint64_t Kind) {
+      constexpr std::pair<int Faults::*, int> Kinds[] = {
+          {&Faults::Fail_, 85},
+          {&Faults::Cut_, 40},
+          {&Faults::Reset_, 40},
+          {&Faults::Extra_, 50},
+          {&Faults::Silent_, 50}};
+      Faults Chosen;
+      Chosen.*Kinds[Kind].first = Kinds[Kind].second;
+      return Chosen;
+    }
   };
 
   SoakTarget(asio::io_context &Context, const Tcp::endpoint &ListenAddress,
@@ -57,12 +73,18 @@
              std::uint64_t Seed)
       : Context_(Context), Acceptor_(Context, ListenAddress),
         Id_(std::move(Id)), Service_(std::move(Service)),
-        Executions_(Executions), Random_(Seed) {
+        Executions_(Executions), Random_(Seed), Composer_(~Seed) {
     accept();
   }
 
   void setFaults(const Faults &New) { Faults_ = New; }
 
+  /// A fault of answers, beside the other faults.
+  void setAnswerFault(AnswerFault Fault, int Percent) {
+    Composer_.setFault(Fault, Percent);
+  }
+  int faultyAnswers() const { return Composer_.faultyAnswers(); }
+
   /// Replaces this instance by another one at the same address.
   void replaceInstance(std::string Id, std::string Service) {
     Id_ = std::move(Id);
@@ -180,20 +202,50 @@
     }
     const bool IsFailure = faultOccurs(Faults_.Fail_);
     const std::string Body = IsFailure ? "failed" : soakBody(Id, Service);
-    std::string Response = responseHead(IsFailure ? 500 : 200, Id, Body.size(),
-                                        "Response-Seal: s\r\n") +
-                           Body;
+    const std::string Response =
+        responseHead(IsFailure ? 500 : 200, Id, Body.size(),
+                     "Response-Seal: s\r\n") +
+        Body;
     if (faultOccurs(Faults_.Cut_)) {
       write(Conn, Response.substr(0, Response.size() / 2));
       Conn->Socket_.close(Ignored);
       return;
     }
-    ++Executions_[Id].Finished_;
     const std::string Previous = Conn->PreviousResponse_;
     Conn->PreviousResponse_ = Response;
+    ComposedAnswer Answer = Composer_.compose(Response, Previous);
+    ExecutionRecord &Record = Executions_[Id];
+    // What follows a whole answer takes nothing from it.
+    if (Answer.IsSound_ || Answer.Writes_.front().Bytes_ == Response)
+      ++Record.Finished_;
+    Record.Answers_ += " " + Answer.Description_;
     if (faultOccurs(Faults_.Extra_))
-      Response = Previous + Response;
-    write(Conn, Response);
+      Answer.Writes_.front().Bytes_.insert(0, Previous);
+    writeFrom(Conn, std::make_shared<const ComposedAnswer>(Answer), 0);
+  }
+
+  /// Writes the rest of the answer, from one of its writes on. The connection
+  /// may carry other requests meanwhile.
+  void writeFrom(const std::shared_ptr<Connection> &Conn,
+                 const std::shared_ptr<const ComposedAnswer> &Answer,
+                 std::size_t Index) {
+    for (; Index < Answer->Writes_.size(); ++Index) {
+      const ComposedWrite &Write = Answer->Writes_[Index];
+      if (Write.Delay_.count() > 0) {
+        const std::shared_ptr<asio::steady_timer> Timer =
+            std::make_shared<asio::steady_timer>(Context_, Write.Delay_);
+        Timer->async_wait(
+            [this, Conn, Answer, Index, Timer](const asio::error_code &) {
+              write(Conn, Answer->Writes_[Index].Bytes_);
+              writeFrom(Conn, Answer, Index + 1);
+            });
+        return;
+      }
+      write(Conn, Write.Bytes_);
+    }
+    asio::error_code Ignored;
+    if (Answer->End_ == ConnectionEnd::Ended)
+      Conn->Socket_.close(Ignored);
   }
 
   static void write(const std::shared_ptr<Connection> &Conn,
@@ -209,6 +261,7 @@
   std::map<std::string, ExecutionRecord> &Executions_;
   std::mt19937_64 Random_;
   Faults Faults_;
+  SoakAnswerComposer Composer_;
   SoakRateLimit RateLimit_;
   std::function<bool(const std::string &)> IsCounted_;
   int Running_ = 0;
