Tests: attempts of serve against answers composed at random

BackendClient had no test of this kind: composed-answers-test runs the gateway's client only. Four servers answer as AnswerComposer says, which now takes the names of the header fields, and 24 threads call one client. An answered attempt must have the whole own body and the own head; a request is written once at most; no attempt that a server got is reported as not run; a sound answer on a new connection is taken.

--- a/test/answer-composer.h
+++ b/test/answer-composer.h
@@ -1,7 +1,7 @@
 // Composes what a faulty backend server writes for one request: its answer and
 // a second one, each with any framing, cut at any byte, in any order and at any
 // time. No I/O: the same seed gives the same bytes. Used by
-// composed-answers-test.
+// composed-answers-test and composed-attempts-test.
 
 #ifndef KUMQUATPITCH_ANSWER_COMPOSER_H
 #define KUMQUATPITCH_ANSWER_COMPOSER_H
@@ -16,6 +16,13 @@
 
 namespace kumquatpitch::test {
 
+/// Names of the header fields that identify a request and its answer.
+struct ComposedHeaders {
+  std::string RequestId_ = "Kumquatpitch-Request-Id"; ///< In the request.
+  std::string AnswerId_ = "Kumquatpitch-Request-Id";
+  std::string AnswerSignature_ = "Kumquatpitch-Answer-Signature";
+};
+
 /// Bytes to write, this long after those before them.
 struct ComposedWrite {
   std::chrono::milliseconds Delay_{};
@@ -52,7 +59,9 @@
 class AnswerComposer {
 public:
   /// `Seed` names the run, `Name` the request and its attempt.
-  AnswerComposer(std::uint64_t Seed, const std::string &Name) {
+  AnswerComposer(std::uint64_t Seed, const std::string &Name,
+                 const ComposedHeaders &Headers = {})
+      : Headers_(Headers) {
     const std::string Text = std::to_string(Seed) + " " + Name;
     std::seed_seq Sequence(Text.begin(), Text.end());
     Random_.seed(Sequence);
@@ -158,8 +167,8 @@
 
   std::string response(const std::string &Id, Framing Kind) {
     const std::string Body = composedBody(Id);
-    std::string Text = "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " + Id +
-                       "\r\nKumquatpitch-Answer-Signature: s" + Id + "\r\n";
+    std::string Text = "HTTP/1.1 200 OK\r\n" + Headers_.AnswerId_ + ": " + Id +
+                       "\r\n" + Headers_.AnswerSignature_ + ": s" + Id + "\r\n";
     if (Kind == Framing::Length)
       return Text + "Content-Length: " + std::to_string(Body.size()) +
              "\r\n\r\n" + Body;
@@ -204,6 +213,7 @@
            std::to_string(SecondBytes);
   }
 
+  const ComposedHeaders Headers_;
   std::mt19937_64 Random_;
 };
 
--- a/test/composed-target.h
+++ b/test/composed-target.h
@@ -1,6 +1,7 @@
 // A backend server on loopback that answers as AnswerComposer says. Each
 // connection has a thread; a write that is late goes out when it is due, also
-// into the answer to the next request. Used by composed-answers-test.
+// into the answer to the next request. Used by composed-answers-test and
+// composed-attempts-test.
 
 #ifndef KUMQUATPITCH_COMPOSED_TARGET_H
 #define KUMQUATPITCH_COMPOSED_TARGET_H
@@ -23,12 +24,16 @@
 /// What the servers of one run have written, by request id. Thread-safe.
 class ComposedRecord {
 public:
-  explicit ComposedRecord(std::uint64_t Seed) : Seed_(Seed) {}
+  explicit ComposedRecord(std::uint64_t Seed, ComposedHeaders Headers = {})
+      : Seed_(Seed), Headers_(std::move(Headers)) {}
+
+  const ComposedHeaders &headers() const { return Headers_; }
 
   ComposedAnswer compose(const std::string &Id, const std::string &OlderId) {
     const std::lock_guard<std::mutex> Lock(Mutex_);
     std::vector<ComposedAnswer> &Answers = ById_[Id];
-    AnswerComposer Composer(Seed_, Id + " " + std::to_string(Answers.size()));
+    AnswerComposer Composer(Seed_, Id + " " + std::to_string(Answers.size()),
+                            Headers_);
     Answers.push_back(Composer.compose(Id, OlderId));
     return Answers.back();
   }
@@ -40,6 +45,7 @@
 
 private:
   const std::uint64_t Seed_;
+  const ComposedHeaders Headers_;
   std::mutex Mutex_;
   std::map<std::string, std::vector<ComposedAnswer>> ById_;
 };
@@ -144,8 +150,8 @@
     close(Socket);
   }
 
-  static std::string requestId(const std::string &Head) {
-    const std::string Name = "Kumquatpitch-Request-Id: ";
+  std::string requestId(const std::string &Head) const {
+    const std::string Name = Record_.headers().RequestId_ + ": ";
     const std::size_t Start = Head.find(Name) + Name.size();
     return Head.substr(Start, Head.find("\r\n", Start) - Start);
   }
