serve: take an answer only if it is one valid message

cpp-httplib 0.11.4 takes a chunk that is not followed by a line end for the last one: an answer that broke off in a chunk, with the first bytes of another one behind it, was delivered as complete, also with a part of the body only. It also skips a line of the head that is no field, so that a field that another answer's status line cut in two was lost without a sign. BackendStream now checks the bytes with http-parser, as the gateway does; an answer that is not one valid message ends as Broken.

Seen to fail without the change: ChunkedBodiesThatBreakOffAreFailures, HeadsWithALineThatIsNoFieldAreNotTaken.

--- a/include/kumquatpitch/backend-connection.h
+++ b/include/kumquatpitch/backend-connection.h
@@ -65,8 +65,9 @@
   const std::function<bool()> *MayWrite_ = nullptr; ///< Set during an exchange.
   ExchangeResult *Current_ = nullptr;               ///< Set during an exchange.
   CarriedRequestIds CarriedIds_;
-  SplicedResponseScan Scan_; ///< Of the current answer.
-  Duration StreamTimeout_{}; ///< Of one read or write.
+  SplicedResponseScan Scan_;   ///< Of the current answer.
+  Duration StreamTimeout_{};   ///< Of one read or write.
+  bool IsBodyOmitted_ = false; ///< In the current answer.
 };
 
 } // namespace kumquatpitch::detail
--- a/include/kumquatpitch/backend-stream.h
+++ b/include/kumquatpitch/backend-stream.h
@@ -10,16 +10,55 @@
 #include "kumquatpitch/time-point.h"
 
 #include <array>
+#include <http_parser.h>
 #include <httplib.h>
+#include <string_view>
 
 namespace kumquatpitch::detail {
 
+/// Checks that the bytes of a response are one complete message. The HTTP
+/// library is less strict: it skips a line of the head that is no header field,
+/// and takes a chunk that is not followed by a line end for the last one.
+class ResponseSyntaxCheck {
+public:
+  /// `IsBodyOmitted` is true for the response to a HEAD request.
+  explicit ResponseSyntaxCheck(bool IsBodyOmitted);
+  ResponseSyntaxCheck(const ResponseSyntaxCheck &) = delete;
+  ResponseSyntaxCheck &operator=(const ResponseSyntaxCheck &) = delete;
+
+  void feed(std::string_view Bytes);
+  /// Must be called once, behind the last byte. Returns true if the bytes are
+  /// one complete message; one without a length or chunks ends here.
+  bool finish();
+
+private:
+  /// Lower statuses precede another head.
+  static constexpr unsigned FinalStatus = 200;
+  static const http_parser_settings Settings;
+
+  static int onHeadersComplete(http_parser *Parser);
+  static int onComplete(http_parser *Parser);
+  void reset();
+
+  const bool IsBodyOmitted_;
+  http_parser Parser_{};
+  bool HasNoBody_ = false;
+  bool IsComplete_ = false;
+  bool IsRejected_ = false;
+};
+
 class BackendStream : public httplib::Stream {
 public:
   /// Each read or write waits for at most `Timeout`. `Scan` gets the bytes that
-  /// the library reads.
-  BackendStream(socket_t Socket, Duration Timeout, SplicedResponseScan &Scan)
-      : Socket_(Socket), Timeout_(Timeout), Scan_(Scan) {}
+  /// the library reads. `IsBodyOmitted` is true for a HEAD request.
+  BackendStream(socket_t Socket, Duration Timeout, SplicedResponseScan &Scan,
+                bool IsBodyOmitted)
+      : Socket_(Socket), Timeout_(Timeout), Scan_(Scan),
+        Syntax_(IsBodyOmitted) {}
+
+  /// True if the bytes that the library has read are one complete message. Must
+  /// be called once, behind the last of them.
+  bool finishAnswer() { return Syntax_.finish(); }
 
   /// Decides whether the complete answer is free of another one's bytes. Waits
   /// for what follows it where this has to tell.
@@ -46,6 +85,7 @@
   const socket_t Socket_;
   const Duration Timeout_;
   SplicedResponseScan &Scan_;
+  ResponseSyntaxCheck Syntax_;
   BytesBehindResponse Behind_; ///< Of the complete answer.
   std::array<char, BufferBytes> Buffer_;
   std::size_t Begin_ = 0; ///< Of the bytes that were received and not read.
--- a/src/backend-connection.cc
+++ b/src/backend-connection.cc
@@ -30,6 +30,7 @@
   // BackendClient's canceller calls stop() at the deadline. The library's own
   // timeouts expire 500 ms later, so that they are not mistaken for the cause.
   StreamTimeout_ = Remaining + StopTolerance;
+  IsBodyOmitted_ = Request.method == "HEAD";
   CarriedIds_.add(Echo.Id_);
   Scan_.begin(Echo.Header_, CarriedIds_);
   Request.content_receiver = [&](const char *Bytes, size_t Count, uint64_t,
@@ -59,8 +60,8 @@
 bool BackendConnection::process_socket(
     const Socket &Opened,
     std::function<bool(httplib::Stream &)> HandleRequest) {
-  BackendStream Stream(Opened.sock, StreamTimeout_, Scan_);
-  const bool IsAnswered = HandleRequest(Stream);
+  BackendStream Stream(Opened.sock, StreamTimeout_, Scan_, IsBodyOmitted_);
+  const bool IsAnswered = HandleRequest(Stream) && Stream.finishAnswer();
   if (IsAnswered) {
     Current_->IsWhole_ = Stream.decideAnswerIsWhole();
     Current_->HasBytesBehind_ = Stream.bytesBehindAnswer() > 0;
--- a/src/backend-stream.cc
+++ b/src/backend-stream.cc
@@ -10,6 +10,61 @@
 
 namespace kumquatpitch::detail {
 
+ResponseSyntaxCheck::ResponseSyntaxCheck(bool IsBodyOmitted)
+    : IsBodyOmitted_(IsBodyOmitted) {
+  reset();
+}
+
+void ResponseSyntaxCheck::reset() {
+  http_parser_init(&Parser_, HTTP_RESPONSE);
+  Parser_.data = this;
+  IsComplete_ = false;
+}
+
+const http_parser_settings ResponseSyntaxCheck::Settings = [] {
+  http_parser_settings Table;
+  http_parser_settings_init(&Table);
+  Table.on_headers_complete = onHeadersComplete;
+  Table.on_message_complete = onComplete;
+  return Table;
+}();
+
+void ResponseSyntaxCheck::feed(std::string_view Bytes) {
+  if (IsRejected_ || HasNoBody_)
+    return;
+  if (IsComplete_) {
+    IsRejected_ = true;
+    return;
+  }
+  const std::size_t Consumed =
+      http_parser_execute(&Parser_, &Settings, Bytes.data(), Bytes.size());
+  // The parser pauses at the end of a message.
+  const bool IsValid = IsComplete_ || HTTP_PARSER_ERRNO(&Parser_) == HPE_OK;
+  IsRejected_ = !IsValid || Consumed != Bytes.size();
+  if (IsComplete_ && Parser_.status_code < FinalStatus)
+    reset();
+}
+
+bool ResponseSyntaxCheck::finish() {
+  if (!IsRejected_ && !IsComplete_)
+    http_parser_execute(&Parser_, &Settings, nullptr, 0);
+  return !IsRejected_ && IsComplete_;
+}
+
+int ResponseSyntaxCheck::onHeadersComplete(http_parser *Parser) {
+  ResponseSyntaxCheck &Self = *static_cast<ResponseSyntaxCheck *>(Parser->data);
+  const unsigned Status = Parser->status_code;
+  Self.HasNoBody_ = (Self.IsBodyOmitted_ && Status >= FinalStatus) ||
+                    Status == 204 || Status == 304;
+  return Self.HasNoBody_ ? 1 : 0;
+}
+
+int ResponseSyntaxCheck::onComplete(http_parser *Parser) {
+  static_cast<ResponseSyntaxCheck *>(Parser->data)->IsComplete_ = true;
+  http_parser_pause(Parser, 1);
+  return 0;
+}
+
 bool BackendStream::isReady(short Events, Duration Timeout) const {
   pollfd State{Socket_, Events, 0};
   return poll(&State, 1, static_cast<int>(toMilliseconds(Timeout))) > 0;
@@ -70,6 +125,7 @@
   const std::size_t Count = std::min(Size, End_ - Begin_);
   std::copy_n(Buffer_.data() + Begin_, Count, Bytes);
   Scan_.feed(std::string_view(Bytes, Count));
+  Syntax_.feed(std::string_view(Bytes, Count));
   Begin_ += Count;
   return static_cast<ssize_t>(Count);
 }
