HttpClient: end the call that holds most when memory for answers runs out

What callers saw (report on bytes without end): while one target sends a body without end, answers of other targets break: the call that exceeded the limit of all answers together was ended, however little it held, and the endless one went on up to the limit of one answer. The limit also counted the bytes received, not those that a growing body had allocated, up to twice as many.

Now the allocation counts, and the call that holds most is ended; its body is freed at once. GatewayMemory.EndlessAnswerDoesNotBreakOthers failed before: the small answer got nothing.

--- a/include/kumquatpitch/http-client-connection.h
+++ b/include/kumquatpitch/http-client-connection.h
@@ -40,6 +40,9 @@
 
   void close();
 
+  /// Bytes that the body of the call in progress counts for.
+  std::uint64_t countedBytes() const { return CountedBytes_; }
+
 private:
   static constexpr std::size_t ReadBytes = 8'192;
 
@@ -56,6 +59,8 @@
   void handleEnd(const asio::error_code &Error);
   bool completeOrSkip(std::string_view Rest);
   void countBuffered(std::uint64_t Bytes);
+  bool holdBody();
+  void endForMemory();
   void decideEnd(bool WasHeld);
   void hold(Duration Time);
   void complete();
@@ -92,6 +97,7 @@
   CarriedRequestIds CarriedIds_;
   SplicedResponseScan Scan_;       ///< Of the response that the parser is in.
   std::uint64_t CountedBytes_ = 0; ///< Its part of Client_.BufferedBytes_.
+  bool IsOverLimit_ = false;       ///< The call is about to end for its memory.
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace kumquatpitch {
@@ -119,8 +120,8 @@
     OnIdleBytes_ = std::move(OnIdleBytes);
   }
 
-  /// Limits the bytes of bodies that all calls in progress hold together. A
-  /// call that exceeds it is broken.
+  /// Limits the bytes of bodies that all calls in progress hold together, as
+  /// allocated. Beyond it, the call that holds most is broken.
   void setMaxBufferedBytes(std::uint64_t Limit) { MaxBufferedBytes_ = Limit; }
 
   /// Bytes of bodies that the calls in progress hold.
@@ -132,11 +133,14 @@
   std::shared_ptr<HttpClientConnection> acquireIdle(const CallOptions &Options);
   void addIdle(const std::shared_ptr<HttpClientConnection> &Connection);
   void removeIdle(const HttpClientConnection *Connection);
+  /// Of the calls in progress, the one that holds the most bytes of a body.
+  HttpClientConnection &largestHolder() const;
 
   asio::io_context &Context_;
   IdleBytesCallback OnIdleBytes_;
   std::uint64_t MaxBufferedBytes_ = 64 << 20;
-  std::uint64_t BufferedBytes_ = 0; ///< Sum of all calls in progress.
+  std::uint64_t BufferedBytes_ = 0;          ///< Sum of all calls in progress.
+  std::set<HttpClientConnection *> Holders_; ///< Those with bytes of a body.
   /// Idle connections by server, the most recently used one at the end.
   std::map<Endpoint, std::list<std::shared_ptr<HttpClientConnection>>> Idle_;
 };
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -73,6 +73,7 @@
   OtherResponses_ = 0;
   HasSecondResponse_ = false;
   IsUnprovable_ = false;
+  IsOverLimit_ = false;
   Behind_ = BytesBehindResponse();
   HasEnded_ = false;
   IsHeld_ = false;
@@ -219,9 +220,8 @@
     const std::size_t Used = Parser_->feed(Bytes);
     const bool IsRejected = Parser_->state() == MessageParser::State::Rejected;
     const bool IsComplete = Parser_->state() == MessageParser::State::Complete;
-    countBuffered(Parser_->message().Body_.size());
-    if (Client_.BufferedBytes_ > Client_.MaxBufferedBytes_)
-      return fail(CallEnd::Broken, "no memory left for responses in progress");
+    if (!holdBody())
+      return;
     Scan_.feed(IsRejected ? Bytes : Bytes.substr(0, Used));
     Bytes.remove_prefix(Used);
     if (IsComplete)
@@ -378,6 +378,36 @@
 void HttpClientConnection::countBuffered(std::uint64_t Bytes) {
   Client_.BufferedBytes_ += Bytes - CountedBytes_;
   CountedBytes_ = Bytes;
+  if (Bytes > 0)
+    Client_.Holders_.insert(this);
+  else
+    Client_.Holders_.erase(this);
+}
+
+/// Counts the body that the parser holds. If all bodies together exceed the
+/// limit, the call with the largest one ends: a server that sends without end
+/// must not break the calls to others. False if that is this call.
+bool HttpClientConnection::holdBody() {
+  countBuffered(IsOverLimit_ ? 0 : Parser_->bodyBytes());
+  HttpClientConnection *Largest = this;
+  if (Client_.BufferedBytes_ > Client_.MaxBufferedBytes_)
+    Largest = &Client_.largestHolder();
+  else if (!IsOverLimit_)
+    return true;
+  Largest->endForMemory();
+  return Largest != this;
+}
+
+/// The callback may start and cancel calls, so it runs later.
+void HttpClientConnection::endForMemory() {
+  countBuffered(0);
+  if (IsOverLimit_)
+    return;
+  IsOverLimit_ = true;
+  asio::post(Client_.Context_, [Self = shared_from_this()] {
+    if (Self->IsOverLimit_)
+      Self->fail(CallEnd::Broken, "no memory left for responses in progress");
+  });
 }
 
 void HttpClientConnection::complete() {
@@ -420,6 +450,8 @@
   const HttpClient::Callback OnEnd = std::move(OnEnd_);
   OnEnd_ = nullptr;
   close();
+  // Pending handlers keep the connection for a while, but need no body.
+  Parser_->take();
   OnEnd(std::move(Result));
 }
 
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -99,4 +99,12 @@
   return Count;
 }
 
+HttpClientConnection &HttpClient::largestHolder() const {
+  return **std::max_element(
+      Holders_.begin(), Holders_.end(),
+      [](const HttpClientConnection *Left, const HttpClientConnection *Right) {
+        return Left->countedBytes() < Right->countedBytes();
+      });
+}
+
 } // namespace kumquatpitch
--- /dev/null
+++ b/test/gateway-memory-test.cc
@@ -0,0 +1,57 @@
+// Tests that the memory for answers is shared fairly: a target that sends
+// without end, or a caller that does not read, must not end the requests of
+// others.
+
+#include "gateway-front-fixture.h"
+
+using namespace kumquatpitch;
+using namespace kumquatpitch::test;
+
+TEST_GROUP_BASE(GatewayMemory, GatewayFrontFixture){
+    static std::string chunk(std::size_t Bytes) {
+  char Line[32];
+  std::snprintf(Line, sizeof Line, "%zx\r\n", Bytes);
+  return Line + std::string(Bytes, 'x') + "\r\n";
+}
+
+static std::string chunkedHead(const std::string &Id) {
+  return "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " + Id +
+         "\r\nKumquatpitch-Answer-Signature: s\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+}
+;
+
+// Guards against the failure of small answers while one target sends a body
+// without end: the one that holds most has to go.
+TEST(GatewayMemory, EndlessAnswerDoesNotBreakOthers) {
+  Client_.setMaxBufferedBytes(1'200'000);
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Id = requestIdOf(Request);
+    sendText(Socket, chunkedHead(Id) + chunk(Id == "long" ? 900'000 : 400'000) +
+                         (Id == "long" ? "" : "0\r\n\r\n"));
+    return true;
+  });
+  call(request("/large/1", "long"));
+  CHECK(runUntil([this] { return Client_.bufferedBytes() >= 900'000; }));
+  asio::ip::tcp::socket Other(Context_);
+  Other.connect(localEndpoint(FrontPort));
+  sendText(Other, request("/large/2", "short"));
+  std::string Got;
+  std::array<char, 65'536> Buffer;
+  const std::function<void()> Read = [&] {
+    Other.async_read_some(asio::buffer(Buffer),
+                          [&](const asio::error_code &Error, std::size_t Size) {
+                            Got.append(Buffer.data(), Size);
+                            if (!Error)
+                              Read();
+                          });
+  };
+  Read();
+  CHECK(runUntil([&] { return Got.size() > 400'000; }));
+  CHECK(Got.starts_with("HTTP/1.1 200"));
+  CHECK_TEXT(runUntilReceived("HTTP/1.1 502"), Received_.c_str());
+  CHECK_EQUAL(0, Client_.bufferedBytes());
+}
