Gateway: bound the responses that callers have not read

One connection that pipelines 16 requests and reads nothing held 16 answers of a sixteenth of the host's memory each, for up to 10 s, and an idle connection kept the buffers of its largest answer. A delivered answer was copied three times.

Now the connections count what their callers have not read; beyond an eighth of the memory the one that holds most is closed, with a line and a counter (slow_callers_closed), so that callers that read are served. Buffers are freed with the write, and an answer is moved to its connection.

GatewayMemory.CallerThatDoesNotReadIsClosed needs the new limit, so that it could not be run before; CallerThatReadsGetsAllAnswers is its counterpart.

--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -64,6 +64,7 @@
 
   void handle(std::shared_ptr<HttpExchange> Exchange) override;
   HttpMessage reject(ResultCode Code) override;
+  void closingSlowCaller(std::uint64_t UnreadBytes) override;
 
   /// Refuses further requests as not run, because the host is about to stop.
   void rejectNewRequests() { RejectsNewRequests_ = true; }
--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -44,6 +44,10 @@
 
   /// Builds the response to input that is not an acceptable request.
   virtual HttpMessage reject(ResultCode Code) = 0;
+
+  /// A connection is closed since its caller has left the most bytes of
+  /// responses unread while there is no memory left for responses.
+  virtual void closingSlowCaller(std::uint64_t /*UnreadBytes*/) {}
 };
 
 class HttpSession;
@@ -72,6 +76,14 @@
   /// Bytes of request bodies that the connections hold.
   std::uint64_t bufferedBytes() const { return Bodies_.held(); }
 
+  /// Limits the bytes of responses that all connections hold until their
+  /// callers have read them. Beyond it, the connection that holds most is
+  /// closed.
+  void setMaxResponseBytes(std::uint64_t Limit) { MaxResponseBytes_ = Limit; }
+
+  /// Bytes of responses that the connections hold.
+  std::uint64_t responseBytes() const { return ResponseBytes_; }
+
   /// Closes each connection after its pending responses. An idle connection
   /// stays open until its next response, since a request may be in flight.
   void drain() { IsDraining_ = true; }
@@ -86,6 +98,7 @@
   friend class HttpSession;
 
   void accept();
+  void boundResponses();
 
   asio::io_context &Context_;
   HttpHandler &Handler_;
@@ -93,6 +106,8 @@
   asio::steady_timer RetryTimer_; ///< Delays the next accept after a failure.
   CallerLimits Limits_;
   BufferBudget Bodies_{64 << 20};
+  std::uint64_t MaxResponseBytes_ = 64 << 20;
+  std::uint64_t ResponseBytes_ = 0; ///< Sum of all connections.
   std::size_t MaxConnections_ = 0;
   bool IsDraining_ = false;
   std::set<std::shared_ptr<HttpSession>>
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/gateway-daemon.h"
 
 #include "kumquatpitch/caller-hosts.h"
+#include "kumquatpitch/memory-shares.h"
 #include "kumquatpitch/metrics-format.h"
 #include "kumquatpitch/run-loop.h"
 
@@ -40,12 +41,6 @@
 /// is published almost all the time.
 constexpr Duration WatchTimeout = std::chrono::milliseconds(200);
 
-/// Parts of the host's memory for the answers of targets in progress: one, and
-/// all together. A target may send bytes without end.
-constexpr std::uint64_t MemoryPerAnswerDivisor = 16;
-constexpr std::uint64_t MemoryForAnswersDivisor = 4;
-/// Part of the host's memory for the bodies of callers' requests, all together.
-constexpr std::uint64_t MemoryForBodiesDivisor = 2;
 /// How long requests that were received when the daemon ends are still handled.
 constexpr Duration FinalRunTime = std::chrono::milliseconds(100);
 
@@ -164,7 +159,7 @@
       Front_(GatewayDependencies{
           Context_, Timers_, Core_, TargetClient_, Log_, Metrics_, *this,
           Settings_.UnframedServices_, Platform.headers(),
-          Settings_.MemoryBytes_ / MemoryPerAnswerDivisor}),
+          MemoryShares(Settings_.MemoryBytes_).oneAnswer()}),
       DirectoryHandler_(std::make_unique<DirectoryHandler>(*this)),
       MetricsHandler_(std::make_unique<MetricsHandler>(*this)),
       FrontServer_(Context_, Front_),
@@ -173,10 +168,10 @@
       MetricsServer_(Context_, *MetricsHandler_), Datagrams_(Context_),
       Peers_(Datagrams_, Settings_.PeerPort_, Membership_, Random_, Metrics_),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
-  TargetClient_.setMaxBufferedBytes(Settings_.MemoryBytes_ /
-                                    MemoryForAnswersDivisor);
-  FrontServer_.setMaxBufferedBytes(Settings_.MemoryBytes_ /
-                                   MemoryForBodiesDivisor);
+  const MemoryShares Shares(Settings_.MemoryBytes_);
+  TargetClient_.setMaxBufferedBytes(Shares.answers());
+  FrontServer_.setMaxBufferedBytes(Shares.requestBodies());
+  FrontServer_.setMaxResponseBytes(Shares.responses());
 }
 
 GatewayDaemon::~GatewayDaemon() = default;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -150,8 +150,8 @@
     const std::shared_ptr<ActiveGatewayRequest> Self = shared_from_this();
     Attempts_[Index].Call_ = Dependencies_.Client_.call(
         Terms, outgoingRequest(Attempt.Target_, TimeLeft),
-        [Self, Index](const CallResult &Result) {
-          Self->onAttemptEnded(Index, Result);
+        [Self, Index](CallResult Result) {
+          Self->onAttemptEnded(Index, std::move(Result));
         });
     const double RateLimit = rateLimitOf(Attempt.Target_);
     if (RateLimit != NoRateLimit)
@@ -235,7 +235,7 @@
                                           : AttemptOutcome::Failure;
   }
 
-  void onAttemptEnded(std::size_t Index, const CallResult &Result) {
+  void onAttemptEnded(std::size_t Index, CallResult Result) {
     if (IsDone_)
       return;
     Attempts_[Index].Call_ = nullptr;
@@ -252,7 +252,7 @@
     recordAttempt(Attempt, Outcome, Result);
     switch (Next.Step_) {
     case GatewayStep::Deliver:
-      deliver(Result.Answer_, Outcome);
+      deliver(std::move(Result.Answer_), Outcome);
       break;
     case GatewayStep::Resend:
       place();
@@ -366,19 +366,17 @@
          {"detail", Detail}});
   }
 
-  void deliver(const HttpMessage &Answer, AttemptOutcome Result) {
+  void deliver(HttpMessage Answer, AttemptOutcome Result) {
     finish();
     const bool IsFailure = Result != AttemptOutcome::Success;
     recordEnd(IsFailure ? ResultCode::BackendBroken : ResultCode::Ok,
               Outcome::Ran, Answer.Status_);
     if (IsFailure)
       logEnd("delivered_failure", Answer.Status_, ResultCode::Ok);
-    HttpMessage Relayed = Answer;
     // The host knows no more than the target told: a length would state that
     // the answer is whole.
-    Relayed.EndsWithConnection_ =
-        bodyFraming(Answer) == BodyFraming::UntilClose;
-    Exchange_->answer(std::move(Relayed));
+    Answer.EndsWithConnection_ = bodyFraming(Answer) == BodyFraming::UntilClose;
+    Exchange_->answer(std::move(Answer));
   }
 
   void refuse(const GatewayRefusal &Refusal) {
@@ -539,4 +537,10 @@
   return refusalAnswer(makeRefusal(Code, RetryAfter));
 }
 
+void GatewayFront::closingSlowCaller(std::uint64_t UnreadBytes) {
+  Dependencies_.Metrics_.count("slow_callers_closed");
+  Dependencies_.Log_.write(LogLevel::Warning, "request", "slow_caller_closed",
+                           {{"bytes", std::to_string(UnreadBytes)}});
+}
+
 } // namespace kumquatpitch
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -58,6 +58,8 @@
     Timer_.cancel();
     WriteTimer_.cancel();
     Server_.Bodies_.resize(HeldBytes_, 0);
+    Server_.ResponseBytes_ -= ResponseBytes_;
+    ResponseBytes_ = 0;
     std::deque<std::shared_ptr<Exchange>> Abandoned;
     Abandoned.swap(Waiting_);
     for (const std::shared_ptr<Exchange> &Unanswered : Abandoned)
@@ -71,6 +73,23 @@
     return Waiting_.size() + (IsWriting_ || Phase_.isLastQueued() ? 1 : 0);
   }
 
+  /// Bytes of responses that the caller has not read.
+  std::uint64_t responseBytes() const { return ResponseBytes_; }
+
+  /// Closes the connection, not in the middle of its own work.
+  void closeForMemory() {
+    const std::uint64_t UnreadBytes = ResponseBytes_;
+    Server_.ResponseBytes_ -= UnreadBytes;
+    ResponseBytes_ = 0;
+    IsEvicted_ = true;
+    asio::post(Server_.Context_, [Self = shared_from_this(), UnreadBytes] {
+      if (Self->IsClosed_)
+        return;
+      Self->Server_.Handler_.closingSlowCaller(UnreadBytes);
+      Self->close();
+    });
+  }
+
 private:
   class Exchange : public HttpExchange {
   public:
@@ -84,8 +103,10 @@
         return;
       Response_ = std::move(Response);
       OnCallerGone_ = nullptr;
-      if (const std::shared_ptr<HttpSession> Session = Session_.lock())
+      if (const std::shared_ptr<HttpSession> Session = Session_.lock()) {
+        Session->countResponses();
         Session->advance();
+      }
     }
 
     void onCallerGone(std::function<void()> Callback) override {
@@ -195,6 +216,19 @@
     return Server_.Bodies_.resize(HeldBytes_, Bytes);
   }
 
+  /// Counts the responses that wait for their turn or for the caller to read.
+  void countResponses() {
+    if (IsEvicted_ || IsClosed_)
+      return;
+    std::uint64_t Bytes = Outgoing_.size() + WriteBuffer_.size();
+    for (const std::shared_ptr<Exchange> &Accepted : Waiting_)
+      if (Accepted->response())
+        Bytes += Accepted->response()->Body_.size();
+    Server_.ResponseBytes_ += Bytes - ResponseBytes_;
+    ResponseBytes_ = Bytes;
+    Server_.boundResponses();
+  }
+
   void handleRequest() {
     HttpMessage Request = Parser_.take();
     SentContinue_ = false;
@@ -243,7 +277,11 @@
       const bool IsLast = Phase_.responseQueued(
           !Waiting_.empty() || !Unparsed_.empty(), Server_.IsDraining_);
       const bool OmitBody = First->request().Method_ == "HEAD";
-      Outgoing_.append(writeResponse(*First->response(), IsLast, OmitBody));
+      std::string Text = writeResponse(*First->response(), IsLast, OmitBody);
+      if (Outgoing_.empty())
+        Outgoing_ = std::move(Text);
+      else
+        Outgoing_.append(Text);
     }
     holdBodies(); // Never more than before.
   }
@@ -263,8 +301,8 @@
     if (IsWriting_ || Outgoing_.empty() || IsClosed_)
       return;
     IsWriting_ = true;
-    WriteBuffer_.swap(Outgoing_);
-    Outgoing_.clear();
+    WriteBuffer_ = std::move(Outgoing_);
+    Outgoing_ = std::string();
     const std::shared_ptr<HttpSession> Self = shared_from_this();
     WriteTimer_.expires_after(WriteTimeout);
     WriteTimer_.async_wait([Self](const asio::error_code &Error) {
@@ -280,9 +318,10 @@
   void writeCompleted(const asio::error_code &Error) {
     IsWriting_ = false;
     WriteTimer_.cancel();
-    WriteBuffer_.clear();
+    WriteBuffer_ = std::string(); // An idle connection holds no buffer.
     if (IsClosed_)
       return;
+    countResponses();
     if (Error)
       return close();
     if (!Outgoing_.empty())
@@ -353,11 +392,13 @@
   std::string Outgoing_;    ///< Queued for the next write.
   std::string WriteBuffer_; ///< Used by the write in progress.
   std::deque<std::shared_ptr<Exchange>> Waiting_; ///< At most MaxPipelined + 1.
-  std::uint64_t HeldBytes_ = 0; ///< Its part of Server_.Bodies_.
+  std::uint64_t HeldBytes_ = 0;     ///< Its part of Server_.Bodies_.
+  std::uint64_t ResponseBytes_ = 0; ///< Its part of Server_.ResponseBytes_.
   bool IsReading_ = false;
   bool IsWriting_ = false;
   bool IsAdvancing_ = false;
   bool IsClosed_ = false;
+  bool IsEvicted_ = false; ///< About to be closed for its memory.
   ConnectionPhase Phase_;
   bool SentContinue_ = false;
   bool IsRestTimed_ = false; ///< Timer_ runs for the rest of a request.
@@ -424,6 +465,19 @@
       });
 }
 
+/// Callers that do not read must not take the memory of those that do.
+void HttpServer::boundResponses() {
+  if (ResponseBytes_ <= MaxResponseBytes_)
+    return;
+  const std::shared_ptr<HttpSession> Slowest =
+      *std::max_element(Sessions_.begin(), Sessions_.end(),
+                        [](const std::shared_ptr<HttpSession> &Left,
+                           const std::shared_ptr<HttpSession> &Right) {
+                          return Left->responseBytes() < Right->responseBytes();
+                        });
+  Slowest->closeForMemory();
+}
+
 std::size_t HttpServer::requestsInProgress() const {
   std::size_t Count = 0;
   for (const std::shared_ptr<HttpSession> &Session : Sessions_)
--- a/test/gateway-memory-test.cc
+++ b/test/gateway-memory-test.cc
@@ -8,7 +8,11 @@
 using namespace kumquatpitch::test;
 
 TEST_GROUP_BASE(GatewayMemory, GatewayFrontFixture){
-    static std::string chunk(std::size_t Bytes) {
+    std::uint64_t counter(const std::string &Name){
+        return Metrics_.snapshot(Timers_.now()).Counters_[Name];
+}
+
+static std::string chunk(std::size_t Bytes) {
   char Line[32];
   std::snprintf(Line, sizeof Line, "%zx\r\n", Bytes);
   return Line + std::string(Bytes, 'x') + "\r\n";
@@ -55,3 +59,54 @@
   CHECK_TEXT(runUntilReceived("HTTP/1.1 502"), Received_.c_str());
   CHECK_EQUAL(0, Client_.bufferedBytes());
 }
+
+// Guards against a process that runs out of memory with the answers of callers
+// that do not read them.
+TEST(GatewayMemory, CallerThatDoesNotReadIsClosed) {
+  constexpr std::uint64_t MaxResponseBytes = 5'000'000;
+  Server_.setMaxResponseBytes(MaxResponseBytes);
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const bool IsLarge = Request.starts_with("GET /large/");
+    const std::string Text = answer(
+        requestIdOf(Request), std::string(IsLarge ? LargeBodyBytes : 10, 'x'));
+    // The host closes the connections of a caller that has been closed.
+    asio::error_code Closed;
+    asio::write(Socket, asio::buffer(Text), Closed);
+    return true;
+  });
+  Caller_.open(asio::ip::tcp::v4());
+  Caller_.set_option(asio::socket_base::receive_buffer_size(4'096));
+  Caller_.connect(localEndpoint(FrontPort));
+  std::string Requests;
+  for (std::size_t Index = 0; Index < LargeResponses; ++Index)
+    Requests += request("/large/1", "id" + std::to_string(Index));
+  sendText(Caller_, Requests);
+  CHECK(runUntil([this] { return counter("slow_callers_closed") == 1; }));
+  CHECK(runUntil([this] { return Server_.responseBytes() == 0; }));
+  CHECK_EQUAL(0, Server_.connections());
+  Caller_ = asio::ip::tcp::socket(Context_);
+  call(request("/look/1", "other"));
+  CHECK(runUntilReceived("HTTP/1.1 200"));
+}
+
+// A caller that reads gets all of its answers, however many they are.
+TEST(GatewayMemory, CallerThatReadsGetsAllAnswers) {
+  Server_.setMaxResponseBytes(4 * LargeBodyBytes);
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket,
+             answer(requestIdOf(Request), std::string(LargeBodyBytes, 'x')));
+    return true;
+  });
+  for (std::size_t Index = 0; Index < LargeResponses; ++Index) {
+    Received_.clear();
+    Caller_ = asio::ip::tcp::socket(Context_);
+    call(request("/large/1", "id" + std::to_string(Index)));
+    CHECK(runUntil([this] { return Received_.size() > LargeBodyBytes; }));
+  }
+  CHECK_EQUAL(0, counter("slow_callers_closed"));
+  CHECK(runUntil([this] { return Server_.responseBytes() == 0; }));
+}
