--- a/test/gateway-memory-test.cc
+++ b/test/gateway-memory-test.cc
@@ -7,24 +7,26 @@
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
-TEST_GROUP_BASE(GatewayMemory, GatewayFrontFixture){
-    std::uint64_t counter(const std::string &Name){
-        return Metrics_.snapshot(Timers_.now()).Counters_[Name];
-}
+TEST_GROUP_BASE(GatewayMemory, GatewayFrontFixture) {
+  asio::ip::tcp::socket Other_{Context_}; ///< A second caller.
+  std::array<char, 65'536> OtherBuffer_;
 
-static std::string chunk(std::size_t Bytes) {
-  char Line[32];
-  std::snprintf(Line, sizeof Line, "%zx\r\n", Bytes);
-  return Line + std::string(Bytes, 'x') + "\r\n";
-}
+  std::uint64_t counter(const std::string &Name) {
+    return Metrics_.snapshot(Timers_.now()).Counters_[Name];
+  }
 
-static std::string chunkedHead(const std::string &Id) {
-  return "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " + Id +
-         "\r\nKumquatpitch-Answer-Signature: s\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
-}
-}
-;
+  static std::string chunk(std::size_t Bytes) {
+    char Line[32];
+    std::snprintf(Line, sizeof Line, "%zx\r\n", Bytes);
+    return Line + std::string(Bytes, 'x') + "\r\n";
+  }
+
+  static std::string chunkedHead(const std::string &Id) {
+    return "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " + Id +
+           "\r\nKumquatpitch-Answer-Signature: s\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+  }
+};
 
 // Guards against the failure of small answers while one target sends a body
 // without end: the one that holds most has to go.
@@ -40,18 +42,17 @@
   });
   call(request("/large/1", "long"));
   CHECK(runUntil([this] { return Client_.bufferedBytes() >= 900'000; }));
-  asio::ip::tcp::socket Other(Context_);
-  Other.connect(localEndpoint(FrontPort));
-  sendText(Other, request("/large/2", "short"));
+  Other_.connect(localEndpoint(FrontPort));
+  sendText(Other_, request("/large/2", "short"));
   std::string Got;
-  std::array<char, 65'536> Buffer;
   const std::function<void()> Read = [&] {
-    Other.async_read_some(asio::buffer(Buffer),
-                          [&](const asio::error_code &Error, std::size_t Size) {
-                            Got.append(Buffer.data(), Size);
-                            if (!Error)
-                              Read();
-                          });
+    Other_.async_read_some(
+        asio::buffer(OtherBuffer_),
+        [&](const asio::error_code &Error, std::size_t Size) {
+          Got.append(OtherBuffer_.data(), Size);
+          if (!Error)
+            Read();
+        });
   };
   Read();
   CHECK(runUntil([&] { return Got.size() > 400'000; }));
--- a/test/gateway-unframed-test.cc
+++ b/test/gateway-unframed-test.cc
@@ -6,34 +6,34 @@
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
-TEST_GROUP_BASE(GatewayUnframed, GatewayFrontFixture){
-    /// A target that answers each request with the status and the body, without
-    /// a
-    /// length, announces the end of the connection and ends it in order.
-    void startUnframedTarget(const std::string &Status,
-                             const std::string &Fields = ""){startTarget(
-        [=](ScriptedTarget::Socket &Socket, const std::string &Request) {
-          if (!hasCompleteHead(Request))
-            return false;
-          sendText(Socket,
-                   "HTTP/1.1 " + Status +
-                       "\r\nKumquatpitch-Request-Id: " + requestIdOf(Request) +
-                       "\r\nKumquatpitch-Answer-Signature: s\r\n" + Fields +
-                       "Connection: close\r\n\r\nfirst half");
-          Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
-          return true;
-        });
-}
+TEST_GROUP_BASE(GatewayUnframed, GatewayFrontFixture) {
+  using Socket = ScriptedTarget::Socket;
 
-std::uint64_t counter(const std::string &Name) {
-  return Metrics_.snapshot(Timers_.now()).Counters_[Name];
-}
+  /// A target that answers each request with the status and the fields, without
+  /// a length, announces the end of the connection and ends it in order.
+  void startUnframedTarget(const std::string &Status,
+                           const std::string &Fields = "") {
+    startTarget([=](Socket &Connection, const std::string &Request) {
+      if (!hasCompleteHead(Request))
+        return false;
+      sendText(Connection,
+               "HTTP/1.1 " + Status +
+                   "\r\nKumquatpitch-Request-Id: " + requestIdOf(Request) +
+                   "\r\nKumquatpitch-Answer-Signature: s\r\n" + Fields +
+                   "Connection: close\r\n\r\nfirst half");
+      Connection.shutdown(Socket::shutdown_send);
+      return true;
+    });
+  }
 
-bool received(const std::string &Text) const {
-  return Received_.find(Text) != std::string::npos;
-}
-}
-;
+  std::uint64_t counter(const std::string &Name) {
+    return Metrics_.snapshot(Timers_.now()).Counters_[Name];
+  }
+
+  bool received(const std::string &Text) const {
+    return Received_.find(Text) != std::string::npos;
+  }
+};
 
 // Guards against delivering as complete an answer that broke off, where the
 // server's process or something on the way has ended the connection in order.
@@ -68,12 +68,12 @@
 // Guards against a caller that waits for a target that sends a body without end
 // or leaves its connection open: the head tells that no proof will follow.
 TEST(GatewayUnframed, AnswerFailsWithItsHead) {
-  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+  startTarget([](Socket &Connection, const std::string &Request) {
     if (!hasCompleteHead(Request))
       return false;
-    sendText(Socket, "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " +
-                         requestIdOf(Request) +
-                         "\r\nKumquatpitch-Answer-Signature: s\r\n\r\n");
+    sendText(Connection, "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " +
+                             requestIdOf(Request) +
+                             "\r\nKumquatpitch-Answer-Signature: s\r\n\r\n");
     return true;
   });
   // The route's timeout is 600 ms.
@@ -88,16 +88,17 @@
 // Guards against requests behind such an answer that go unanswered: a caller
 // that pipelines gets all of its answers, in order, on the connection.
 TEST(GatewayUnframed, PipelinedRequestsBehindItAreAnswered) {
-  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+  startTarget([](Socket &Connection, const std::string &Request) {
     if (!hasCompleteHead(Request))
       return false;
     const std::string Id = requestIdOf(Request);
     if (Id == "id1") {
-      sendText(Socket, "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: id1\r\n"
-                       "Kumquatpitch-Answer-Signature: s\r\n\r\nfirst half");
-      Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
+      sendText(Connection,
+               "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: id1\r\n"
+               "Kumquatpitch-Answer-Signature: s\r\n\r\nfirst half");
+      Connection.shutdown(Socket::shutdown_send);
     } else {
-      sendText(Socket, answer(Id, "second"));
+      sendText(Connection, answer(Id, "second"));
     }
     return true;
   });
