Log the release: line at the start, metric, command

A hash over the product's sources is taken with each build: `daemon started release=`, `release_info` on the metrics address, `kumquatpitch version`. AnswerLogProcess.ReleaseIsLoggedAndOnTheMetricsPage is new; Metrics expects one metric more.

--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -5,6 +5,7 @@
 #include "kumquatpitch/caller-hosts.h"
 #include "kumquatpitch/memory-shares.h"
 #include "kumquatpitch/metrics-format.h"
+#include "kumquatpitch/release.h"
 #include "kumquatpitch/run-loop.h"
 
 #include <algorithm>
@@ -204,7 +205,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   BOOST_LEAF_CHECK(listen());
   Log_.write(LogLevel::Info, "daemon", "started",
-             {{"host", Settings_.Id_.str()},
+             {{"release", releaseId()},
+              {"host", Settings_.Id_.str()},
               {"domain", Settings_.Domain_.str()},
               {"incarnation", std::to_string(Membership_.self().Incarnation_)},
               {"seeds", std::to_string(Seeds_.size())}});
--- a/src/main.cc
+++ b/src/main.cc
@@ -2,6 +2,7 @@
 
 #include "kumquatpitch/burn-command.h"
 #include "kumquatpitch/command.h"
+#include "kumquatpitch/release.h"
 #include "kumquatpitch/result-code.h"
 #include "kumquatpitch/status-command.h"
 
@@ -29,6 +30,7 @@
 
 void printUsage(std::ostream &Stream) {
   Stream << "usage: kumquatpitch COMMAND [OPTION...]\n\ncommands:\n";
+  Stream << "  version\tname the sources of this binary\n";
   for (const Command &Entry : Commands)
     Stream << "  " << Entry.Name_ << "\t" << Entry.Summary_ << "\n";
   Stream
@@ -47,6 +49,10 @@
     printUsage(std::cout);
     return 0;
   }
+  if (std::strcmp(Argv[1], "version") == 0) {
+    std::cout << kumquatpitch::releaseId() << "\n";
+    return 0;
+  }
   for (const Command &Entry : Commands)
     if (std::strcmp(Argv[1], Entry.Name_) == 0)
       return Entry.Run_(Argc - 1, Argv + 1);
--- a/src/metrics-format.cc
+++ b/src/metrics-format.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/metrics-format.h"
 
+#include "kumquatpitch/release.h"
+
 #include <charconv>
 #include <cmath>
 #include <cstdio>
@@ -220,6 +222,8 @@
 std::string formatMetrics(const MetricsSnapshot &Snapshot,
                           const HostStatus &Status) {
   Exposition Text;
+  Text.beginMetric("release_info", "gauge", "The sources of this binary.");
+  Text.addSample({{"release", releaseId()}}, std::uint64_t{1});
   writeHost(Text, Status);
   writeCounts(Text, Snapshot);
   writeLatencies(Text, Snapshot, LatencyKind::Request,
--- a/test/answer-log-process-test.cc
+++ b/test/answer-log-process-test.cc
@@ -2,6 +2,8 @@
 // answer: a gateway process writes its log and serves its metrics while a
 // target sends second answers, answers without a length, and parts of answers.
 
+#include "kumquatpitch/release.h"
+
 #include "child-process.h"
 #include "raw-connection.h"
 #include "soak-store.h"
@@ -431,6 +433,24 @@
               "attempts_broken");
 }
 
+// Guards against a log whose release cannot be told afterwards.
+TEST(AnswerLogProcess, ReleaseIsLoggedAndOnTheMetricsPage) {
+  const std::string Release = releaseId();
+  const std::string Started = "daemon started release=" + Release + " ";
+  const auto IsLogged = [&] {
+    const std::vector<std::string> Lines = logLines();
+    return std::any_of(Lines.begin(), Lines.end(),
+                       [&](const std::string &Line) {
+                         return Line.find(Started) != std::string::npos;
+                       });
+  };
+  CHECK(waitUntil(IsLogged));
+  const RawConnection Page(MetricsPort_);
+  Page.write("GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(Page.readAll().find("kumquatpitch_release_info{release=\"" + Release +
+                            "\"} 1\n") != std::string::npos);
+}
+
 // Guards against a log that grows with what a target writes: it sends second
 // answers on idle connections without end.
 TEST(AnswerLogProcess, EndlessSecondAnswersWriteOneLineForEachConnection) {
--- a/test/metrics-test.cc
+++ b/test/metrics-test.cc
@@ -130,7 +130,7 @@
   for (std::string Line; std::getline(Lines, Line);)
     if (Line.rfind("# TYPE ", 0) == 0)
       CHECK(Declared.insert(Line).second);
-  CHECK_EQUAL(17, Declared.size());
+  CHECK_EQUAL(18, Declared.size());
 }
 
 // Guards against a label value that closes its quotes and injects another
