MessageParser: reject a message whose length exceeds the limit

What callers could see: an answer longer than a sixteenth of the host's memory reached them as a success with an empty body and Content-Length: 0, complete by its length. A request longer than the operator's limit was handled without its body, and its body was read as further requests, which a caller can place there.

Cause: the callback behind the headers rejected the message with 1, and to the parser library 1 means that the message has no body. It then ended the message, which overwrote the rejection. The value of all callbacks is -1 now.

Evidence: three tests that failed before, MessageParser. MessageBeyondTheLimitIsNotComplete, GatewayUnframed. AnswerBeyondTheLimitIsAFailure (200 with an empty body) and HttpServer. BodyBeyondTheLimitIsNotReadAsRequests (no 413).

Found while the limit was moved for responses to HEAD; not by any test of bytes without end, which judged the memory and not the caller's answer.

--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -195,7 +195,9 @@
 int MessageParser::reject(ResultCode Code) {
   State_ = State::Rejected;
   Code_ = Code;
-  return 1;
+  // For the parser library, 1 and 2 behind the headers mean that the message
+  // has no body.
+  return -1;
 }
 
 bool MessageParser::countHead(std::size_t Size) {
--- a/test/gateway-unframed-test.cc
+++ b/test/gateway-unframed-test.cc
@@ -134,3 +134,19 @@
   CHECK_TEXT(runUntilReceived("HTTP/1.1 502"), Received_.c_str());
   CHECK(!received("second ha"));
 }
+
+// Guards against an answer that is too long for the host and reaches its caller
+// as a success with an empty body, complete by its length.
+TEST(GatewayUnframed, AnswerBeyondTheLimitIsAFailure) {
+  startTarget([](Socket &Connection, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Connection, "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: id1\r\n"
+                         "Kumquatpitch-Answer-Signature: s\r\n"
+                         "Content-Length: 9000000000\r\n\r\n");
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK_TEXT(runUntilReceived("HTTP/1.1 "), Received_.c_str());
+  CHECK_TEXT(Received_.starts_with("HTTP/1.1 502"), Received_.c_str());
+}
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -180,3 +180,16 @@
   runUntilReceived("none");
   CHECK_EQUAL(0, Server_.bufferedBytes());
 }
+
+// Guards against a request inside the body of one that is too long: the body
+// must not be read as further requests.
+TEST(HttpServer, BodyBeyondTheLimitIsNotReadAsRequests) {
+  CallerLimits Limits;
+  Limits.MaxBodyBytes_ = 100;
+  Server_.setLimits(Limits);
+  sendOnNewConnection(requestFor("/long", "Content-Length: 5000\r\n") +
+                      requestFor("/inside", "Content-Length: 0\r\n"));
+  CHECK(runUntilReceived("HTTP/1.1 413"));
+  CHECK(Received_.find("/long") == std::string::npos);
+  CHECK(Received_.find("/inside") == std::string::npos);
+}
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -124,3 +124,18 @@
   Response.Headers_ = {{"Transfer-Encoding", "gzip, Chunked"}};
   CHECK(bodyFraming(Response) == BodyFraming::Chunked);
 }
+
+// Guards against taking a message whose length exceeds the limit for a complete
+// one without a body.
+TEST(MessageParser, MessageBeyondTheLimitIsNotComplete) {
+  for (const MessageParser::Kind Parsed :
+       {MessageParser::Kind::Request, MessageParser::Kind::Response}) {
+    MessageParser Parser(Parsed, 1'000, 10);
+    const bool IsRequest = Parsed == MessageParser::Kind::Request;
+    Parser.feed(std::string(IsRequest ? "POST / HTTP/1.1\r\nHost: h\r\n"
+                                      : "HTTP/1.1 200 OK\r\n") +
+                "Content-Length: 5000\r\n\r\nbody");
+    CHECK(Parser.state() == MessageParser::State::Rejected);
+    CHECK(Parser.code() == ResultCode::RequestBodyTooLarge);
+  }
+}
