Gateway: pass on answers to HEAD

Without a length the answer would fail as one that nothing proves whole.

The client tells the parser that the request is HEAD; the answer ends with its head, and keeps the length that it states. GatewayAnswers.AnswerToHeadHasNoBody failed before and now also checks that length; MessageParser.ResponseToHeadEndsWithItsHead is new.

--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -72,6 +72,7 @@
   /// A response that ends with its connection is taken. Otherwise the call is
   /// broken as soon as its head is complete: such a response may have been cut.
   bool AcceptsUnframed_ = false;
+  bool IsHead_ = false; ///< The request's method is HEAD.
 };
 
 /// A serialized request. The body is shared with its owner, so that a long one
--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -29,6 +29,9 @@
   /// Responses only: nothing but the end of the connection tells the end of the
   /// body. Set by a relay that cannot know the length, either.
   bool EndsWithConnection_ = false;
+  /// Responses only: the response to HEAD, which has no body, whatever its
+  /// headers say.
+  bool IsBodyOmitted_ = false;
 
   bool operator==(const HttpMessage &) const = default;
 
@@ -56,7 +59,8 @@
 /// Serialize a request or a response. The message's hop-by-hop headers,
 /// Content-Length and Expect are left out; Content-Length is set from the body
 /// where a body is allowed. `OmitBody`, for responses to HEAD, drops the body
-/// but not its length. A response that ends with its connection is written
+/// but not its length; a response that came without its body keeps the length
+/// that it states. A response that ends with its connection is written
 /// without a length; `CloseAfter` has to be true then.
 std::string writeRequest(const HttpMessage &Message);
 /// The request without its body, which has `BodyBytes`.
@@ -76,6 +80,9 @@
   MessageParser(const MessageParser &) = delete;
   MessageParser &operator=(const MessageParser &) = delete;
 
+  /// The next response is one to HEAD.
+  void expectNoBody() { OmitsBody_ = true; }
+
   /// Parses up to the end of the current message. Returns the number of bytes
   /// consumed.
   std::size_t feed(std::string_view Bytes);
@@ -124,6 +131,7 @@
   ResultCode Code_ = ResultCode::Ok;
   std::uint64_t AnnouncedBytes_ = 0; ///< Content-Length; 0 if there is none.
   std::uint64_t HeadBytes_ = 0;      ///< Above 0 once the message has begun.
+  bool OmitsBody_ = false;           ///< The response answers HEAD.
   bool LastWasValue_ = false; ///< The next field name starts a new header.
 };
 
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -143,6 +143,7 @@
     if (!Id_.empty())
       Terms.Echo_ = RequestEcho{Dependencies_.Headers_.RequestId_, Id_};
     Terms.MaxAnswerBytes_ = Dependencies_.MaxAnswerBytes_;
+    Terms.IsHead_ = Exchange_->request().Method_ == "HEAD";
     Terms.AcceptsUnframed_ =
         Dependencies_.UnframedServices_.contains(Request_->Service_);
     const std::size_t Index = Attempts_.size();
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -64,6 +64,8 @@
   Parser_ = std::make_unique<MessageParser>(MessageParser::Kind::Response,
                                             MaxResponseHeadBytes,
                                             Options.MaxAnswerBytes_);
+  if (Options.IsHead_)
+    Parser_->expectNoBody();
   IsSent_ = false;
   HasResponseBytes_ = false;
   IsWritten_ = false;
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -30,10 +30,13 @@
 
 /// True for responses that never have a body, whatever their headers say.
 static bool hasNoBody(const HttpMessage &Response) {
-  return Response.Status_ == 204 || Response.Status_ == 304;
+  return Response.Status_ == 204 || Response.Status_ == 304 ||
+         Response.IsBodyOmitted_;
 }
 
 BodyFraming bodyFraming(const HttpMessage &Response) {
+  if (Response.IsBodyOmitted_)
+    return BodyFraming::Length;
   // Only a last coding of "chunked" tells the end of the body. Several fields
   // are one list.
   const std::string *Coding = nullptr;
@@ -104,7 +107,11 @@
   Text.append(http_status_str(static_cast<http_status>(Message.Status_)));
   Text.append("\r\n");
   appendHeaders(Message, Text);
-  if (!hasNoBody(Message) && !Message.EndsWithConnection_)
+  const std::string *StatedLength =
+      Message.IsBodyOmitted_ ? Message.header("Content-Length") : nullptr;
+  if (StatedLength)
+    Text.append("Content-Length: ").append(*StatedLength).append("\r\n");
+  else if (!hasNoBody(Message) && !Message.EndsWithConnection_)
     Text.append("Content-Length: ")
         .append(std::to_string(Message.Body_.size()))
         .append("\r\n");
@@ -261,6 +268,12 @@
   Self.Message_.IsHttp10_ = Self.Kind_ == Kind::Response &&
                             Parser->http_major == 1 && Parser->http_minor == 0;
   Self.Message_.KeepAlive_ = http_should_keep_alive(Parser) != 0;
+  constexpr int FirstFinalStatus = 200;
+  Self.Message_.IsBodyOmitted_ =
+      Self.OmitsBody_ && Self.Message_.Status_ >= FirstFinalStatus;
+  // The parser library skips the body if this returns 1.
+  if (Self.Message_.IsBodyOmitted_)
+    return 1;
   if ((Parser->flags & F_CONTENTLENGTH) != 0 &&
       Parser->content_length > Self.MaxBodyBytes_)
     return Self.reject(ResultCode::RequestBodyTooLarge);
--- a/test/gateway-answers-test.cc
+++ b/test/gateway-answers-test.cc
@@ -640,6 +640,7 @@
                            "Content-Length: 4\r\n\r\n";
   const std::string Got = callTargetThatSends({Head}, "/look/1", "HEAD");
   CHECK_TEXT(Got.find("HTTP/1.1 200") == 0, Got.c_str());
+  CHECK_TEXT(contains(Got, "Content-Length: 4\r\n"), Got.c_str());
 }
 
 // Late copies that the end of an answer to another request hides.
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -125,6 +125,20 @@
   CHECK(bodyFraming(Response) == BodyFraming::Chunked);
 }
 
+// Guards against waiting for the body of a response to HEAD, against refusing
+// it for the length of a body that does not follow, and against another length.
+TEST(MessageParser, ResponseToHeadEndsWithItsHead) {
+  MessageParser Parser(MessageParser::Kind::Response, 1'000, 10);
+  Parser.expectNoBody();
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n";
+  CHECK_EQUAL(Head.size(), Parser.feed(Head));
+  CHECK(Parser.state() == MessageParser::State::Complete);
+  CHECK_EQUAL(0, Parser.bodyBytes());
+  const HttpMessage Response = Parser.take();
+  CHECK(bodyFraming(Response) == BodyFraming::Length);
+  STRCMP_EQUAL(Head.c_str(), writeResponse(Response, false, true).c_str());
+}
+
 // Guards against taking a message whose length exceeds the limit for a complete
 // one without a body.
 TEST(MessageParser, MessageBeyondTheLimitIsNotComplete) {
