HttpClient: take no answer of two on a kept connection without an id

If two responses arrive for such a call on a connection in use again, none is taken, and the read is made again on another connection. A late copy that comes alone still cannot be told. LateCopyIsNotTakenForTheAnswerToACallWithoutAnId failed before.

--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -310,7 +310,10 @@
   switch (matchResponse(Parser_->message(), Options_.Echo_, IsReused_)) {
   case ResponseMatch::Own:
     Behind_.add(Rest);
-    decideEnd(false);
+    if (Options_.Echo_.Id_.empty() && IsReused_ && Behind_.total() > 0)
+      fail(CallEnd::Broken, "two responses to a request without an id");
+    else
+      decideEnd(false);
     return true;
   case ResponseMatch::Unattributed:
     fail(CallEnd::Broken, "response without the id of its request alone");
