--- a/test/gateway-memory-test.cc
+++ b/test/gateway-memory-test.cc
@@ -111,3 +111,38 @@
   CHECK_EQUAL(0, counter("slow_callers_closed"));
   CHECK(runUntil([this] { return Server_.responseBytes() == 0; }));
 }
+
+// Guards against an answer that looks complete and has no body, since its
+// length exceeds what the host takes.
+TEST(GatewayMemory, AnswerLongerThanTheLimitIsAFailure) {
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Text =
+        answer(requestIdOf(Request), std::string(MaxAnswerBytes + 1, 'x'));
+    // The body comes later.
+    sendText(Socket, Text.substr(0, Text.find("\r\n\r\n") + 4));
+    return true;
+  });
+  call(request("/large/1", "id1"));
+  CHECK(runUntilReceived("HTTP/1.1 "));
+  CHECK_TEXT(Received_.starts_with("HTTP/1.1 502"), Received_.c_str());
+}
+
+// Guards against a request that runs without its body, since its length exceeds
+// what callers may send.
+TEST(GatewayMemory, RequestLongerThanTheLimitIsNotSent) {
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket, answer(requestIdOf(Request), "ran"));
+    return true;
+  });
+  const std::uint64_t TooMany = CallerLimits().MaxBodyBytes_ + 1;
+  call("POST /book/1 HTTP/1.1\r\nHost: h.example\r\n"
+       "Kumquatpitch-Request-Id: too-long\r\nContent-Length: " +
+       std::to_string(TooMany) + "\r\n\r\n");
+  CHECK(runUntilReceived("HTTP/1.1 "));
+  CHECK_TEXT(Received_.starts_with("HTTP/1.1 413"), Received_.c_str());
+  CHECK_EQUAL(0, Target_->handled());
+}
