Log: name the requests of slow callers and of refused input

What was missing: a caller whose connection is closed because it reads nothing knows the ids of its requests only, and `request slow_caller_closed bytes=N` named none. `request rejected` had no id either, even where the head was parsed.

The first line now has the caller's address, the number of responses that the connection held, and the ids of the first 16 of these, 64 bytes each at most (RequestIdList). Its requests without a response have their own lines `caller_gone`. `rejected` has the id, or `none`; the last header of a head that is not complete may be cut and is not used. The number of lines stays bounded as before. HttpHandler::rejectRequest gets the request and defaults to reject().

AnswerLogProcess plays three new cases on a host with 16 MB of memory. KUMQUATPITCH_KEEP_FILES now keeps the files of this group too, as DEVELOPERS.md says.

--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -64,7 +64,10 @@
 
   void handle(std::shared_ptr<HttpExchange> Exchange) override;
   HttpMessage reject(ResultCode Code) override;
-  void closingSlowCaller(std::uint64_t UnreadBytes) override;
+  HttpMessage rejectRequest(ResultCode Code,
+                            const HttpMessage &Request) override;
+  std::string requestId(const HttpMessage &Request) const override;
+  void closingSlowCaller(const SlowCaller &Caller) override;
 
   /// Refuses further requests as not run, because the host is about to stop.
   void rejectNewRequests() { RejectsNewRequests_ = true; }
--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -9,6 +9,7 @@
 #include "kumquatpitch/buffer-budget.h"
 #include "kumquatpitch/message-parser.h"
 #include "kumquatpitch/peer-transport.h"
+#include "kumquatpitch/request-id-list.h"
 #include "kumquatpitch/result.h"
 #include "kumquatpitch/routing-config.h"
 
@@ -33,6 +34,15 @@
   virtual void onCallerGone(std::function<void()> Callback) = 0;
 };
 
+/// A connection that is closed because its caller does not read.
+struct SlowCaller {
+  std::string Address_; ///< `unknown` if the caller has left meanwhile.
+  std::uint64_t UnreadBytes_ = 0;
+  RequestIdList Unread_; ///< Requests whose responses are lost.
+
+  bool operator==(const SlowCaller &) const = default;
+};
+
 class HttpHandler {
 public:
   virtual ~HttpHandler() = default;
@@ -45,9 +55,21 @@
   /// Builds the response to input that is not an acceptable request.
   virtual HttpMessage reject(ResultCode Code) = 0;
 
+  /// The same, with the method, if the head is complete, and those headers that
+  /// are.
+  virtual HttpMessage rejectRequest(ResultCode Code,
+                                    const HttpMessage & /*Request*/) {
+    return reject(Code);
+  }
+
+  /// Id by which the log names a request; empty if it has none.
+  virtual std::string requestId(const HttpMessage & /*Request*/) const {
+    return {};
+  }
+
   /// A connection is closed since its caller has left the most bytes of
   /// responses unread while there is no memory left for responses.
-  virtual void closingSlowCaller(std::uint64_t /*UnreadBytes*/) {}
+  virtual void closingSlowCaller(const SlowCaller & /*Caller*/) {}
 };
 
 class HttpSession;
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -64,9 +64,7 @@
 
   void start() {
     const HttpMessage &Message = Exchange_->request();
-    if (const std::string *Id =
-            Message.header(Dependencies_.Headers_.RequestId_))
-      Id_ = *Id;
+    Id_ = Front_.requestId(Message);
     const std::variant<GatewayRefusal, std::shared_ptr<GatewayRequest>>
         Admitted = Dependencies_.Core_.admit(requestHead(Message),
                                              Dependencies_.Timers_.now());
@@ -529,8 +527,16 @@
 }
 
 HttpMessage GatewayFront::reject(ResultCode Code) {
-  Dependencies_.Log_.write(LogLevel::Warning, "request", "rejected",
-                           {{"code", resultCodeName(Code)}});
+  return rejectRequest(Code, HttpMessage());
+}
+
+HttpMessage GatewayFront::rejectRequest(ResultCode Code,
+                                        const HttpMessage &Request) {
+  RequestIdList Rejected;
+  Rejected.add(requestId(Request));
+  Dependencies_.Log_.write(
+      LogLevel::Warning, "request", "rejected",
+      {{"code", resultCodeName(Code)}, {"id", Rejected.text()}});
   // Another host can take the request at once.
   const std::optional<Duration> RetryAfter =
       Code == ResultCode::BuffersFull ? std::optional(OtherHostRetryAfter)
@@ -538,10 +544,19 @@
   return refusalAnswer(makeRefusal(Code, RetryAfter));
 }
 
-void GatewayFront::closingSlowCaller(std::uint64_t UnreadBytes) {
+std::string GatewayFront::requestId(const HttpMessage &Request) const {
+  const std::string *Id = Request.header(Dependencies_.Headers_.RequestId_);
+  return Id ? *Id : "";
+}
+
+void GatewayFront::closingSlowCaller(const SlowCaller &Caller) {
   Dependencies_.Metrics_.count("slow_callers_closed");
-  Dependencies_.Log_.write(LogLevel::Warning, "request", "slow_caller_closed",
-                           {{"bytes", std::to_string(UnreadBytes)}});
+  Dependencies_.Log_.write(
+      LogLevel::Warning, "request", "slow_caller_closed",
+      {{"bytes", std::to_string(Caller.UnreadBytes_)},
+       {"address", Caller.Address_},
+       {"responses", std::to_string(Caller.Unread_.count())},
+       {"ids", Caller.Unread_.text()}});
 }
 
 } // namespace kumquatpitch
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -85,12 +85,32 @@
     asio::post(Server_.Context_, [Self = shared_from_this(), UnreadBytes] {
       if (Self->IsClosed_)
         return;
-      Self->Server_.Handler_.closingSlowCaller(UnreadBytes);
+      Self->Server_.Handler_.closingSlowCaller(
+          SlowCaller{Self->callerAddress(), UnreadBytes, Self->unread()});
       Self->close();
     });
   }
 
 private:
+  std::string callerAddress() const {
+    asio::error_code Error;
+    const asio::ip::tcp::endpoint Caller = Socket_.remote_endpoint(Error);
+    return Error ? "unknown"
+                 : Caller.address().to_string() + ":" +
+                       std::to_string(Caller.port());
+  }
+
+  /// The requests whose responses wait for their turn or for the caller to
+  /// read. Requests without a response are reported by their exchanges.
+  RequestIdList unread() const {
+    RequestIdList Unread = WritingIds_;
+    Unread.add(OutgoingIds_);
+    for (const std::shared_ptr<Exchange> &Accepted : Waiting_)
+      if (Accepted->response())
+        Unread.add(Server_.Handler_.requestId(Accepted->request()));
+    return Unread;
+  }
+
   class Exchange : public HttpExchange {
   public:
     Exchange(std::weak_ptr<HttpSession> Session, HttpMessage Request)
@@ -240,12 +260,13 @@
     Waiting_.push_back(NewExchange);
     if (!HasOneHost)
       return NewExchange->answer(
-          Server_.Handler_.reject(ResultCode::RequestMalformed));
+          reject(ResultCode::RequestMalformed, NewExchange->request()));
     try {
       Server_.Handler_.handle(NewExchange);
     } catch (const std::exception &) {
       // Without a response, the requests behind this one would wait for ever.
-      NewExchange->answer(Server_.Handler_.reject(ResultCode::InternalError));
+      NewExchange->answer(
+          reject(ResultCode::InternalError, NewExchange->request()));
       // The event loop reports the exception.
       asio::post(Server_.Context_, [Cause = std::current_exception()] {
         std::rethrow_exception(Cause);
@@ -255,11 +276,19 @@
 
   void rejectStream(ResultCode Code) {
     Phase_.acceptNoMore();
-    Parser_.take();
+    HttpMessage Request = Parser_.take();
+    Request.Body_ = std::string();
+    // The last header of a head that is not complete may be cut.
+    if (Request.Method_.empty() && !Request.Headers_.empty())
+      Request.Headers_.pop_back();
     const std::shared_ptr<Exchange> Last =
-        std::make_shared<Exchange>(weak_from_this(), HttpMessage());
+        std::make_shared<Exchange>(weak_from_this(), std::move(Request));
     Waiting_.push_back(Last);
-    Last->answer(Server_.Handler_.reject(Code));
+    Last->answer(reject(Code, Last->request()));
+  }
+
+  HttpMessage reject(ResultCode Code, const HttpMessage &Request) {
+    return Server_.Handler_.rejectRequest(Code, Request);
   }
 
   void sendContinue() {
@@ -282,6 +311,7 @@
         Outgoing_ = std::move(Text);
       else
         Outgoing_.append(Text);
+      OutgoingIds_.add(Server_.Handler_.requestId(First->request()));
     }
     holdBodies(); // Never more than before.
   }
@@ -292,7 +322,7 @@
   void endAfter(Exchange &Ended) {
     if (!Waiting_.empty())
       return Ended.replaceResponse(
-          Server_.Handler_.reject(ResultCode::BackendBroken));
+          reject(ResultCode::BackendBroken, Ended.request()));
     Phase_.acceptNoMore();
     Unparsed_.clear();
   }
@@ -303,6 +333,8 @@
     IsWriting_ = true;
     WriteBuffer_ = std::move(Outgoing_);
     Outgoing_ = std::string();
+    WritingIds_ = std::move(OutgoingIds_);
+    OutgoingIds_ = RequestIdList();
     const std::shared_ptr<HttpSession> Self = shared_from_this();
     WriteTimer_.expires_after(WriteTimeout);
     WriteTimer_.async_wait([Self](const asio::error_code &Error) {
@@ -319,6 +351,7 @@
     IsWriting_ = false;
     WriteTimer_.cancel();
     WriteBuffer_ = std::string(); // An idle connection holds no buffer.
+    WritingIds_ = RequestIdList();
     if (IsClosed_)
       return;
     countResponses();
@@ -394,6 +427,8 @@
   std::deque<std::shared_ptr<Exchange>> Waiting_; ///< At most MaxPipelined + 1.
   std::uint64_t HeldBytes_ = 0;     ///< Its part of Server_.Bodies_.
   std::uint64_t ResponseBytes_ = 0; ///< Its part of Server_.ResponseBytes_.
+  RequestIdList OutgoingIds_; ///< Requests whose responses Outgoing_ holds.
+  RequestIdList WritingIds_;  ///< The same for WriteBuffer_.
   bool IsReading_ = false;
   bool IsWriting_ = false;
   bool IsAdvancing_ = false;
--- a/test/answer-log-process-test.cc
+++ b/test/answer-log-process-test.cc
@@ -10,6 +10,8 @@
 
 #include <array>
 #include <atomic>
+#include <cstdio>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <httplib.h>
@@ -20,6 +22,7 @@
 #include <poll.h>
 #include <regex>
 #include <set>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -34,10 +37,17 @@
 
 /// Kinds of answers. Each has a target of its own, since a host avoids a target
 /// after a failure.
-constexpr std::array Kinds{"plain",         "idle",        "stray",
-                           "skipped",       "until-close", "held",
-                           "second-inside", "part-inside", "ends-inside",
-                           "status-line",   "flood",       "unprovable"};
+constexpr std::array Kinds{
+    "plain", "idle",          "stray",       "skipped",     "until-close",
+    "held",  "second-inside", "part-inside", "ends-inside", "status-line",
+    "flood", "unprovable",    "large",       "unfinished"};
+
+/// Small, so that few answers exceed its shares.
+constexpr int HostMemoryMb = 16;
+constexpr std::size_t LargeBytes = 200'000;
+/// Less than the longest answer, a sixteenth of the memory; three of these
+/// exceed the eighth for answers in progress.
+constexpr std::size_t UnfinishedBytes = 900'000;
 
 std::string head(const std::string &Id, const std::string &Fields) {
   return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
@@ -76,6 +86,13 @@
   } else if (Kind == "until-close" || Kind == "unprovable") {
     Answer.Bytes_ = head(Id, "Connection: close\r\n") + Body;
     Answer.Ends_ = true;
+  } else if (Kind == "large") {
+    Answer.Bytes_ = answer(Id, std::string(LargeBytes, 'x'));
+  } else if (Kind == "unfinished") {
+    Answer.Bytes_ =
+        head(Id,
+             "Content-Length: " + std::to_string(UnfinishedBytes) + "\r\n") +
+        Body;
   } else if (Kind == "held") {
     Answer.Bytes_ = answer(Id, "see HTTP/1.1 200 OK\r\nContent-Le");
   } else if (Kind == "second-inside") {
@@ -312,7 +329,10 @@
     Gateway_.reset();
     Store_.reset();
     Targets_.clear();
-    std::filesystem::remove_all(Directory_);
+    if (std::getenv("KUMQUATPITCH_KEEP_FILES"))
+      std::printf("files kept in %s\n", Directory_.c_str());
+    else
+      std::filesystem::remove_all(Directory_);
   }
 
   std::string logFile() const { return Directory_ / "host.log"; }
@@ -322,6 +342,7 @@
     const std::string PeerPort = std::to_string(freePort());
     std::ofstream(File) << "[host]\nid = h0\nregion = r\nfailure_domain = a"
                         << "\naddress = 127.0.0.1"
+                        << "\nmemory_mb = " << HostMemoryMb
                         << "\n[listen]\nfront = " << Local << FrontPort_
                         << "\nready = " << Local << freePort()
                         << "\ndirectory = " << Local << freePort()
@@ -344,6 +365,26 @@
     return Got;
   }
 
+  static std::string request(const std::string &Kind, const std::string &Id,
+                             std::size_t BodyBytes = 0) {
+    return "POST /book/" + Kind +
+           "/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + Id +
+           "\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+  }
+
+  /// The first line that contains `Part`; empty if there is none within a
+  /// minute.
+  std::string lineWith(const std::string &Part) const {
+    std::string Found;
+    waitUntil([&] {
+      for (const std::string &Line : logLines())
+        if (Found.empty() && Line.find(Part) != std::string::npos)
+          Found = Line;
+      return !Found.empty();
+    });
+    return Found;
+  }
+
   static bool isSuccess(const std::string &Got) {
     return Got.starts_with("HTTP/1.1 200");
   }
@@ -488,3 +529,52 @@
   CHECK(Lines <= InfoLinesPerSecond * (Span.count() + 2));
   CHECK(Lines + LeftOut >= Requests);
 }
+
+// Guards against lost answers that cannot be found by the ids of their
+// requests: the caller pipelines requests and reads nothing.
+TEST(AnswerLogProcess, LostAnswersOfASlowCallerAreFoundByTheirIds) {
+  constexpr int Requests = 100;
+  const RawConnection Caller(FrontPort_);
+  std::string Bytes;
+  for (int Index = 0; Index < Requests; ++Index)
+    Bytes += request("large", "slow-" + std::to_string(Index));
+  Caller.write(Bytes);
+  const std::string Line = lineWith("request slow_caller_closed");
+  std::smatch Found;
+  CHECK_TEXT(std::regex_search(
+                 Line, Found,
+                 std::regex(" bytes=[0-9]+ address=127\\.0\\.0\\.1:[0-9]+ "
+                            "responses=([0-9]+) ids=\"([^\"]+)\"$")),
+             Line.c_str());
+  std::istringstream Ids(Found[2]);
+  std::size_t Listed = 0;
+  for (std::string Id; Ids >> Id; ++Listed)
+    CHECK_TEXT(Id.starts_with("slow-"), Line.c_str());
+  CHECK(Listed > 0);
+  CHECK(Listed <= std::stoul(Found[1]));
+  CHECK(waitUntil([this] { return counter("slow_callers_closed") == 1; }));
+}
+
+// Guards against an answer that was ended for the memory of others without a
+// line that says so.
+TEST(AnswerLogProcess, AnswerEndedForMemoryIsFoundByItsId) {
+  const RawConnection First(FrontPort_);
+  const RawConnection Second(FrontPort_);
+  const RawConnection Third(FrontPort_);
+  First.write(request("unfinished", "unfinished-1"));
+  Second.write(request("unfinished", "unfinished-2"));
+  Third.write(request("unfinished", "unfinished-3"));
+  const std::string Line =
+      lineWith("detail=\"no memory left for responses in progress\"");
+  CHECK_TEXT(Line.find(" attempt broken id=unfinished-") != std::string::npos,
+             Line.c_str());
+}
+
+// Guards against a refused request whose line does not name it.
+TEST(AnswerLogProcess, RejectedRequestIsFoundByItsId) {
+  constexpr std::size_t HostMemoryBytes = HostMemoryMb << 20;
+  const RawConnection Caller(FrontPort_);
+  Caller.write(request("plain", "too-large", HostMemoryBytes));
+  CHECK(!lineWith(" warning request rejected code=").empty());
+  CHECK(!lineWith(" id=too-large").empty());
+}
--- a/test/gateway-front-fixture.h
+++ b/test/gateway-front-fixture.h
@@ -14,8 +14,8 @@
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cstdio>
 #include <deque>
-#include <fcntl.h>
 #include <functional>
 #include <set>
 #include <unistd.h>
@@ -139,8 +139,8 @@
                                    64, std::chrono::seconds(10)},
                     Random_};
   HttpClient Client_{Context_};
-  int DevNull_ = open("/dev/null", O_WRONLY);
-  EventLog Log_{Timers_, DevNull_, LogLevel::Info};
+  std::FILE *LogFile_ = std::tmpfile();
+  EventLog Log_{Timers_, fileno(LogFile_), LogLevel::Info};
   Metrics Metrics_;
 
   class RecordingSink : public EvidenceSink {
@@ -223,7 +223,7 @@
 
   void teardown() override {
     Target_.reset();
-    close(DevNull_);
+    std::fclose(LogFile_);
   }
 
   void startTarget(ScriptedTarget::Script Script) {
@@ -297,6 +297,23 @@
     sendText(Caller_, request("/book/2", "id2", "POST"));
   }
 
+  /// The first line of the log that contains `Part`; empty if there is none.
+  std::string logLine(const std::string &Part) {
+    Log_.flush();
+    std::string Text;
+    std::array<char, 4'096> Bytes;
+    for (ssize_t Size = 1; Size > 0;) {
+      Size = pread(fileno(LogFile_), Bytes.data(), Bytes.size(),
+                   static_cast<off_t>(Text.size()));
+      Text.append(Bytes.data(), Size > 0 ? static_cast<std::size_t>(Size) : 0);
+    }
+    const std::size_t At = Text.find(Part);
+    if (At == std::string::npos)
+      return "";
+    const std::size_t Start = Text.rfind('\n', At) + 1;
+    return Text.substr(Start, Text.find('\n', At) - Start);
+  }
+
   /// Runs until the caller has received `Text`, for at most 1 s.
   bool runUntilReceived(const std::string &Text) {
     return runUntil([&] { return Received_.find(Text) != std::string::npos; });
--- a/test/gateway-memory-test.cc
+++ b/test/gateway-memory-test.cc
@@ -4,6 +4,8 @@
 
 #include "gateway-front-fixture.h"
 
+#include <sstream>
+
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
@@ -15,6 +17,13 @@
     return Metrics_.snapshot(Timers_.now()).Counters_[Name];
   }
 
+  /// The value of a field that is quoted.
+  static std::string quotedField(const std::string &Line,
+                                 const std::string &Name) {
+    const std::size_t Start = Line.find(" " + Name + "=\"") + Name.size() + 3;
+    return Line.substr(Start, Line.find('"', Start) - Start);
+  }
+
   static std::string chunk(std::size_t Bytes) {
     char Line[32];
     std::snprintf(Line, sizeof Line, "%zx\r\n", Bytes);
@@ -112,6 +121,109 @@
   CHECK(runUntil([this] { return Server_.responseBytes() == 0; }));
 }
 
+// Guards against answers that are lost without a line that names them: the
+// caller of a closed connection knows the ids of its requests only.
+TEST(GatewayMemory, LineOfAClosedCallerNamesTheLostAnswers) {
+  constexpr std::uint64_t MaxResponseBytes = 5'000'000;
+  Server_.setMaxResponseBytes(MaxResponseBytes);
+  std::set<std::string> Answered;
+  startTarget([&](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Text =
+        answer(requestIdOf(Request), std::string(LargeBodyBytes, 'x'));
+    // The host closes the connections of a caller that has been closed.
+    asio::error_code Closed;
+    asio::write(Socket, asio::buffer(Text), Closed);
+    if (!Closed)
+      Answered.insert(requestIdOf(Request));
+    return true;
+  });
+  Caller_.open(asio::ip::tcp::v4());
+  Caller_.set_option(asio::socket_base::receive_buffer_size(4'096));
+  Caller_.connect(localEndpoint(FrontPort));
+  const std::string CallerPort =
+      std::to_string(Caller_.local_endpoint().port());
+  std::string Requests;
+  for (std::size_t Index = 0; Index < LargeResponses; ++Index)
+    Requests += request("/large/1", "id" + std::to_string(Index));
+  sendText(Caller_, Requests);
+  CHECK(runUntil([this] { return counter("slow_callers_closed") == 1; }));
+  CHECK(runUntil([this] { return Server_.connections() == 0; }));
+  const std::string Line = logLine("request slow_caller_closed");
+  CHECK_TEXT(Line.find(" address=127.0.0.1:" + CallerPort + " ") !=
+                 std::string::npos,
+             Line.c_str());
+  std::set<std::string> Listed;
+  std::istringstream Ids(quotedField(Line, "ids"));
+  for (std::string Id; Ids >> Id;)
+    Listed.insert(Id);
+  CHECK_TEXT(Line.find(" responses=" + std::to_string(Listed.size()) + " ") !=
+                 std::string::npos,
+             Line.c_str());
+  // Each request is in this line or has one of its own.
+  for (std::size_t Index = 0; Index < LargeResponses; ++Index) {
+    const std::string Id = "id" + std::to_string(Index);
+    const bool IsListed = Listed.count(Id) > 0;
+    const bool IsGone = !logLine("request caller_gone id=" + Id + " ").empty();
+    CHECK_TEXT(IsListed != IsGone, (Id + ": " + Line).c_str());
+    CHECK(!IsListed || Answered.count(Id) > 0);
+  }
+}
+
+// Guards against a line that names responses which the caller has read.
+TEST(GatewayMemory, LineOfAClosedCallerNamesNoDeliveredAnswer) {
+  constexpr std::size_t Delivered = 40;
+  Server_.setMaxResponseBytes(5'000'000);
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const bool IsLarge = Request.starts_with("GET /large/");
+    asio::error_code Closed;
+    asio::write(
+        Socket,
+        asio::buffer(answer(requestIdOf(Request),
+                            std::string(IsLarge ? LargeBodyBytes : 10, 'x'))),
+        Closed);
+    return true;
+  });
+  Caller_.open(asio::ip::tcp::v4());
+  Caller_.set_option(asio::socket_base::receive_buffer_size(4'096));
+  Caller_.connect(localEndpoint(FrontPort));
+  std::array<char, 4'096> Bytes;
+  for (std::size_t Index = 0; Index < Delivered; ++Index) {
+    sendText(Caller_, request("/look/1", "read" + std::to_string(Index)));
+    CHECK(runUntil([this] { return Caller_.available() > 0; }));
+    Caller_.read_some(asio::buffer(Bytes));
+  }
+  std::string Requests;
+  for (std::size_t Index = 0; Index < LargeResponses; ++Index)
+    Requests += request("/large/1", "id" + std::to_string(Index));
+  sendText(Caller_, Requests);
+  CHECK(runUntil([this] { return counter("slow_callers_closed") == 1; }));
+  const std::string Line = logLine("request slow_caller_closed");
+  CHECK_TEXT(Line.find("id0") != std::string::npos, Line.c_str());
+  CHECK_TEXT(Line.find("read") == std::string::npos, Line.c_str());
+}
+
+// Guards against refused input that cannot be found by its request's id.
+TEST(GatewayMemory, LineOfARejectedRequestNamesIt) {
+  Server_.setMaxBufferedBytes(1'000);
+  call("POST /book/1 HTTP/1.1\r\nHost: h.example\r\n"
+       "Kumquatpitch-Request-Id: too-large\r\nContent-Length: 1001\r\n\r\n");
+  CHECK_TEXT(runUntilReceived("HTTP/1.1 503"), Received_.c_str());
+  CHECK(!logLine("request rejected code=buffers_full id=too-large").empty());
+}
+
+// A head that breaks off may have cut the id.
+TEST(GatewayMemory, LineOfARejectedRequestNamesNoCutId) {
+  call("POST /book/1 HTTP/1.1\r\nHost: h.example\r\n"
+       "Kumquatpitch-Request-Id: cut\x01");
+  CHECK_TEXT(runUntilReceived("HTTP/1.1 400"), Received_.c_str());
+  const std::string Line = logLine("request rejected");
+  CHECK_TEXT(Line.ends_with(" code=request_malformed id=none"), Line.c_str());
+}
+
 // Guards against an answer that looks complete and has no body, since its
 // length exceeds what the host takes.
 TEST(GatewayMemory, AnswerLongerThanTheLimitIsAFailure) {
@@ -145,4 +257,6 @@
   CHECK(runUntilReceived("HTTP/1.1 "));
   CHECK_TEXT(Received_.starts_with("HTTP/1.1 413"), Received_.c_str());
   CHECK_EQUAL(0, Target_->handled());
+  CHECK(!logLine("request rejected code=request_body_too_large id=too-long")
+             .empty());
 }
