--- a/test/gateway-memory-test.cc
+++ b/test/gateway-memory-test.cc
@@ -165,8 +165,11 @@
   for (std::size_t Index = 0; Index < LargeResponses; ++Index) {
     const std::string Id = "id" + std::to_string(Index);
     const bool IsListed = Listed.count(Id) > 0;
-    const bool IsGone = !logLine("request caller_gone id=" + Id + " ").empty();
-    CHECK_TEXT(IsListed != IsGone, (Id + ": " + Line).c_str());
+    const bool IsGone =
+        !logLine(std::string("request caller_gone id=").append(Id).append(" "))
+             .empty();
+    CHECK_TEXT(IsListed != IsGone,
+               std::string(Id).append(": ").append(Line).c_str());
     CHECK(!IsListed || Answered.count(Id) > 0);
   }
 }
