--- a/support/release-id.cmake
+++ b/support/release-id.cmake
@@ -2,6 +2,7 @@
 # a hash over all of their files, so that a log tells which sources wrote it.
 # Prints the name, or with OUTPUT writes a source file that defines it.
 #   cmake -P support/release-id.cmake
+cmake_minimum_required(VERSION 3.25)
 get_filename_component(ROOT ${CMAKE_CURRENT_LIST_DIR} DIRECTORY)
 file(STRINGS ${ROOT}/CMakeLists.txt PROJECT REGEX "^project\\(")
 string(REGEX REPLACE ".*VERSION ([0-9.]+).*" "\\1" VERSION "${PROJECT}")
@@ -26,7 +27,7 @@
 
 namespace kumquatpitch {
 
-const char *releaseId() { return \"@ID@\"; }
+const char *releaseId() { return \"${ID}\"; }
 
 } // namespace kumquatpitch
 " @ONLY)
