Attempts: bound an answer's head, its lines and the exchange's time

What was seen: a target that writes a status line without end, or a complete one of 20,000 bytes, ends the whole serve process (stack overflow, signal 11): the HTTP library matches the line with a recursive function. Header fields, one field, a chunk's extension and bytes that are no answer are stored without limit until the deadline. Interim answers and slow bytes keep an exchange beyond its deadline unless the owner's canceller ends it, which has no effect between the permission to write and the write.

The stream's syntax check already follows each byte, and its parser limits heads and chunk lines to 80 KB, but it was asked only behind the last byte. Now the stream reads no further once it has rejected a byte, limits the reason to 1 KB, and has one deadline for all reads and writes, 500 ms behind the attempt's. The time that an answer is held for bytes behind it ends although bytes keep coming.

--- a/include/kumquatpitch/backend-connection.h
+++ b/include/kumquatpitch/backend-connection.h
@@ -34,7 +34,8 @@
   BackendConnection(const Endpoint &Address, std::uint64_t Generation);
 
   /// Sends `Request` and reads the answer. Connecting takes `Remaining` at
-  /// most; the owner bounds the whole exchange by calling stop().
+  /// most; the owner ends the exchange by calling stop(), and without that it
+  /// ends soon after `Remaining`.
   ExchangeResult exchange(httplib::Request &Request, const RequestEcho &Echo,
                           std::uint64_t MaxAnswerBytes, Duration Remaining,
                           const std::function<bool()> &MayWrite);
@@ -66,7 +67,7 @@
   ExchangeResult *Current_ = nullptr;               ///< Set during an exchange.
   CarriedRequestIds CarriedIds_;
   SplicedResponseScan Scan_;   ///< Of the current answer.
-  Duration StreamTimeout_{};   ///< Of one read or write.
+  Duration StreamTimeout_{};   ///< Of the whole exchange.
   bool IsBodyOmitted_ = false; ///< In the current answer.
 };
 
--- a/include/kumquatpitch/backend-stream.h
+++ b/include/kumquatpitch/backend-stream.h
@@ -10,6 +10,7 @@
 #include "kumquatpitch/time-point.h"
 
 #include <array>
+#include <chrono>
 #include <http_parser.h>
 #include <httplib.h>
 #include <string_view>
@@ -19,6 +20,7 @@
 /// Checks that the bytes of a response are one complete message. The HTTP
 /// library is less strict: it skips a line of the head that is no header field,
 /// and takes a chunk that is not followed by a line end for the last one.
+/// Nor does it limit a head, a chunk's line or trailers; the parser does.
 class ResponseSyntaxCheck {
 public:
   /// `IsBodyOmitted` is true for the response to a HEAD request.
@@ -27,6 +29,8 @@
   ResponseSyntaxCheck &operator=(const ResponseSyntaxCheck &) = delete;
 
   void feed(std::string_view Bytes);
+  /// True if no further bytes can make the response a valid one.
+  bool isRejected() const { return IsRejected_; }
   /// Must be called once, behind the last byte. Returns true if the bytes are
   /// one complete message; one without a length or chunks ends here.
   bool finish();
@@ -34,14 +38,20 @@
 private:
   /// Lower statuses precede another head.
   static constexpr unsigned FinalStatus = 200;
+  /// The HTTP library matches the status line with a recursive function, which
+  /// overflows the thread's stack on a line of some 10,000 bytes.
+  static constexpr std::size_t MaxReasonBytes = 1'024;
   static const http_parser_settings Settings;
 
+  static int onMessageBegin(http_parser *Parser);
+  static int onStatus(http_parser *Parser, const char *Text, std::size_t Size);
   static int onHeadersComplete(http_parser *Parser);
   static int onComplete(http_parser *Parser);
   void reset();
 
   const bool IsBodyOmitted_;
   http_parser Parser_{};
+  std::size_t ReasonBytes_ = 0;
   bool HasNoBody_ = false;
   bool IsComplete_ = false;
   bool IsRejected_ = false;
@@ -49,11 +59,11 @@
 
 class BackendStream : public httplib::Stream {
 public:
-  /// Each read or write waits for at most `Timeout`. `Scan` gets the bytes that
-  /// the library reads. `IsBodyOmitted` is true for a HEAD request.
+  /// All reads and writes together take at most `Timeout`. `Scan` gets the
+  /// bytes that the library reads. `IsBodyOmitted` is true for a HEAD request.
   BackendStream(socket_t Socket, Duration Timeout, SplicedResponseScan &Scan,
                 bool IsBodyOmitted)
-      : Socket_(Socket), Timeout_(Timeout), Scan_(Scan),
+      : Socket_(Socket), Deadline_(Clock::now() + Timeout), Scan_(Scan),
         Syntax_(IsBodyOmitted) {}
 
   /// True if the bytes that the library has read are one complete message. Must
@@ -64,6 +74,9 @@
   /// for what follows it where this has to tell.
   bool decideAnswerIsWhole();
 
+  /// True if bytes were received that the library has not read.
+  bool hasUnreadBytes() const { return Begin_ < End_; }
+
   std::size_t bytesBehindAnswer() const { return Behind_.total(); }
 
   bool is_readable() const override;
@@ -75,15 +88,19 @@
   socket_t socket() const override { return Socket_; }
 
 private:
+  using Clock = std::chrono::steady_clock;
+
   static constexpr std::size_t BufferBytes = 4'096;
 
   bool isReady(short Events, Duration Timeout) const;
-  /// Fills the empty buffer. Returns 0 at the end of the stream and -1 on an
-  /// error or a timeout.
-  ssize_t fill(Duration Timeout);
+  /// Like the other one, until the deadline.
+  bool isReady(short Events) const;
+  /// Fills the empty buffer with bytes that are ready. Returns 0 at the end of
+  /// the stream and -1 on an error.
+  ssize_t fill();
 
   const socket_t Socket_;
-  const Duration Timeout_;
+  const Clock::time_point Deadline_;
   SplicedResponseScan &Scan_;
   ResponseSyntaxCheck Syntax_;
   BytesBehindResponse Behind_; ///< Of the complete answer.
--- a/src/backend-connection.cc
+++ b/src/backend-connection.cc
@@ -27,8 +27,8 @@
   MayWrite_ = &MayWrite;
   Current_ = &Result;
   set_connection_timeout(Remaining);
-  // BackendClient's canceller calls stop() at the deadline. The library's own
-  // timeouts expire 500 ms later, so that they are not mistaken for the cause.
+  // BackendClient's canceller calls stop() at the deadline. The stream's own
+  // deadline is 500 ms later, so that it is not mistaken for the cause.
   StreamTimeout_ = Remaining + StopTolerance;
   IsBodyOmitted_ = Request.method == "HEAD";
   CarriedIds_.add(Echo.Id_);
--- a/src/backend-stream.cc
+++ b/src/backend-stream.cc
@@ -3,7 +3,6 @@
 #include "kumquatpitch/backend-stream.h"
 
 #include <algorithm>
-#include <chrono>
 #include <optional>
 #include <poll.h>
 #include <sys/socket.h>
@@ -24,6 +23,8 @@
 const http_parser_settings ResponseSyntaxCheck::Settings = [] {
   http_parser_settings Table;
   http_parser_settings_init(&Table);
+  Table.on_message_begin = onMessageBegin;
+  Table.on_status = onStatus;
   Table.on_headers_complete = onHeadersComplete;
   Table.on_message_complete = onComplete;
   return Table;
@@ -51,6 +52,18 @@
   return !IsRejected_ && IsComplete_;
 }
 
+int ResponseSyntaxCheck::onMessageBegin(http_parser *Parser) {
+  static_cast<ResponseSyntaxCheck *>(Parser->data)->ReasonBytes_ = 0;
+  return 0;
+}
+
+int ResponseSyntaxCheck::onStatus(http_parser *Parser, const char *,
+                                  std::size_t Size) {
+  ResponseSyntaxCheck &Self = *static_cast<ResponseSyntaxCheck *>(Parser->data);
+  Self.ReasonBytes_ += Size;
+  return Self.ReasonBytes_ > MaxReasonBytes ? 1 : 0;
+}
+
 int ResponseSyntaxCheck::onHeadersComplete(http_parser *Parser) {
   ResponseSyntaxCheck &Self = *static_cast<ResponseSyntaxCheck *>(Parser->data);
   const unsigned Status = Parser->status_code;
@@ -70,9 +83,14 @@
   return poll(&State, 1, static_cast<int>(toMilliseconds(Timeout))) > 0;
 }
 
-ssize_t BackendStream::fill(Duration Timeout) {
-  if (!isReady(POLLIN, Timeout))
-    return -1;
+bool BackendStream::isReady(short Events) const {
+  const Duration Left =
+      std::chrono::duration_cast<Duration>(Deadline_ - Clock::now());
+  // Bytes that come without a pause are always ready.
+  return Left > Duration::zero() && isReady(Events, Left);
+}
+
+ssize_t BackendStream::fill() {
   const ssize_t Size = recv(Socket_, Buffer_.data(), Buffer_.size(), 0);
   Begin_ = 0;
   End_ = Size > 0 ? static_cast<std::size_t>(Size) : 0;
@@ -80,7 +98,6 @@
 }
 
 bool BackendStream::decideAnswerIsWhole() {
-  using Clock = std::chrono::steady_clock;
   // An answer without a length is not delivered, so that the framing is known.
   ResponseEvidence Evidence;
   std::optional<Clock::time_point> HoldEnd;
@@ -99,11 +116,11 @@
     const Duration Left =
         std::max(Duration::zero(),
                  std::chrono::duration_cast<Duration>(*HoldEnd - Clock::now()));
-    if (!isReady(POLLIN, Left)) {
+    if (Left == Duration::zero() || !isReady(POLLIN, Left)) {
       Evidence.WasHeld_ = true;
       continue;
     }
-    const ssize_t Size = fill(Duration::zero());
+    const ssize_t Size = fill();
     Evidence.WasHeld_ = Size == 0;
     // Only a reset shows that the server did not mean this end.
     Evidence.IsConnectionEnded_ = Size < 0;
@@ -111,14 +128,16 @@
 }
 
 bool BackendStream::is_readable() const {
-  return Begin_ < End_ || isReady(POLLIN, Timeout_);
+  return Begin_ < End_ || isReady(POLLIN);
 }
 
-bool BackendStream::is_writable() const { return isReady(POLLOUT, Timeout_); }
+bool BackendStream::is_writable() const { return isReady(POLLOUT); }
 
 ssize_t BackendStream::read(char *Bytes, size_t Size) {
+  if (Syntax_.isRejected())
+    return -1;
   if (Begin_ == End_) {
-    const ssize_t Received = fill(Timeout_);
+    const ssize_t Received = isReady(POLLIN) ? fill() : -1;
     if (Received <= 0)
       return Received;
   }
@@ -127,7 +146,8 @@
   Scan_.feed(std::string_view(Bytes, Count));
   Syntax_.feed(std::string_view(Bytes, Count));
   Begin_ += Count;
-  return static_cast<ssize_t>(Count);
+  // The library would read on, or match a status line of any length.
+  return Syntax_.isRejected() ? -1 : static_cast<ssize_t>(Count);
 }
 
 ssize_t BackendStream::write(const char *Bytes, size_t Size) {
