Platform documents: take no cut one, no second copy, and none without end

What was seen: a document in chunks of which the server wrote a part was taken as whole: the HTTP library takes a chunk without its line end for the last one. A second copy of an answer, written 10 ms later, was read as the answer to the next call on that connection, and so on: each call got the document of the one before it (key0 for key4). Heads without end were stored without limit, and slow bytes occupied a reader's thread without end, since the library's timeout begins anew with each byte.

DocumentConnection reads through the stream that checks answers of targets: whole by the parser, one deadline, limited heads. A connection on which anything was received behind an answer is closed before the next call.

Documents without a length, with an empty body or of 9 GB were refused before, too.

--- a/include/kumquatpitch/http-platform-reader.h
+++ b/include/kumquatpitch/http-platform-reader.h
@@ -14,19 +14,17 @@
 #include <thread>
 #include <vector>
 
-namespace httplib {
-class Client;
-} // namespace httplib
-
 namespace kumquatpitch {
 
+class DocumentConnection;
+
 /// Runs calls on a fixed number of threads with one connection each. A watch
 /// occupies a thread for its whole wait, so there is one more thread than there
 /// are concurrent watches. Callbacks run on these threads.
 class HttpPlatformReader : public PlatformReader {
 public:
-  /// `Timeout` limits connecting and, in addition to a watch's wait, each
-  /// reply.
+  /// `Timeout` limits each call from connecting to the last byte, in addition
+  /// to a watch's wait.
   HttpPlatformReader(const Endpoint &Platform, Duration Timeout);
 
   /// Aborts calls in progress; calls not yet started are completed with
@@ -49,8 +47,9 @@
   };
 
   void enqueue(Call Pending);
-  void runCalls(httplib::Client &Connection);
-  PlatformReply perform(httplib::Client &Connection, const Call &Pending) const;
+  void runCalls(DocumentConnection &Connection);
+  PlatformReply perform(DocumentConnection &Connection,
+                        const Call &Pending) const;
 
   const Duration Timeout_;
   std::mutex Mutex_;
@@ -58,7 +57,7 @@
   std::deque<Call> Queue_; ///< At most MaxQueuedCalls.
   bool Stopped_ = false;
   std::size_t RunningThreads_ = 0; ///< Threads that have not exited.
-  std::vector<std::unique_ptr<httplib::Client>> Connections_;
+  std::vector<std::unique_ptr<DocumentConnection>> Connections_;
   std::vector<std::thread> Threads_;
 };
 
--- a/src/http-platform-reader.cc
+++ b/src/http-platform-reader.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/http-platform-reader.h"
 
 #include "kumquatpitch/contract.h"
+#include "kumquatpitch/document-connection.h"
 
 #include <charconv>
 #include <httplib.h>
@@ -59,17 +60,10 @@
 HttpPlatformReader::HttpPlatformReader(const Endpoint &Platform,
                                        Duration Timeout)
     : Timeout_(Timeout) {
-  for (std::size_t Index = 0; Index < WorkerThreads; ++Index) {
-    Connections_.push_back(
-        std::make_unique<httplib::Client>(Platform.Address_, Platform.Port_));
-    httplib::Client &Connection = *Connections_.back();
-    Connection.set_tcp_nodelay(true);
-    Connection.set_keep_alive(true);
-    Connection.set_connection_timeout(Timeout);
-    Connection.set_write_timeout(Timeout);
-  }
+  for (std::size_t Index = 0; Index < WorkerThreads; ++Index)
+    Connections_.push_back(std::make_unique<DocumentConnection>(Platform));
   RunningThreads_ = Connections_.size();
-  for (const std::unique_ptr<httplib::Client> &Connection : Connections_)
+  for (const std::unique_ptr<DocumentConnection> &Connection : Connections_)
     Threads_.emplace_back([this, &Connection] { runCalls(*Connection); });
 }
 
@@ -81,7 +75,7 @@
   // repeated until every thread has exited.
   while (RunningThreads_ > 0) {
     Lock.unlock();
-    for (const std::unique_ptr<httplib::Client> &Connection : Connections_)
+    for (const std::unique_ptr<DocumentConnection> &Connection : Connections_)
       Connection->stop();
     Lock.lock();
     Changed_.wait_for(Lock, StopInterval,
@@ -120,7 +114,7 @@
       PlatformReply{Pending.Key_, PlatformStatus::Unreachable, 0, "", 0});
 }
 
-void HttpPlatformReader::runCalls(httplib::Client &Connection) {
+void HttpPlatformReader::runCalls(DocumentConnection &Connection) {
   while (true) {
     Call Pending;
     {
@@ -138,24 +132,17 @@
   }
 }
 
-PlatformReply HttpPlatformReader::perform(httplib::Client &Connection,
+PlatformReply HttpPlatformReader::perform(DocumentConnection &Connection,
                                           const Call &Pending) const {
   PlatformReply Reply{Pending.Key_, PlatformStatus::Unreachable, 0, "", 0};
-  Connection.set_read_timeout(Pending.Wait_ + Timeout_);
-  std::string Body;
-  const httplib::Result Received = Connection.Get(
+  DocumentAnswer Answer = Connection.get(
       Pending.Path_, httplib::Headers{{"Accept-Encoding", "gzip"}},
-      [&](const char *Data, std::size_t Size) {
-        Body.append(Data, Size);
-        return Body.size() <= MaxDocumentBytes;
-      });
-  if (!Received) {
-    if (Body.size() > MaxDocumentBytes)
-      Reply.Status_ = PlatformStatus::Malformed;
+      Pending.Wait_ + Timeout_, MaxDocumentBytes);
+  if (Answer.IsTooLarge_)
+    Reply.Status_ = PlatformStatus::Malformed;
+  if (Answer.Error_ != httplib::Error::Success)
     return Reply;
-  }
-  httplib::Response Response = *Received;
-  Response.body = std::move(Body);
+  httplib::Response &Response = Answer.Response_;
   Reply.Status_ = statusOf(Response, Reply.Version_);
   Reply.WireBytes_ = wireBytes(Response);
   if (Reply.Status_ == PlatformStatus::Value)
