Status reports: bound the head and the time of an answer

What was seen: a host that writes header fields without end filled the memory of the command that fetched its report; slow bytes in the head kept it beyond its timeout, which was checked only in the body. Reports are read by DocumentConnection now.

Evidence: StatusFetch.EndlessAnswersAreCutOff failed with 67 MB written, and passes.

--- a/src/status-fetch.cc
+++ b/src/status-fetch.cc
@@ -3,10 +3,10 @@
 #include "kumquatpitch/status-fetch.h"
 
 #include "kumquatpitch/contract.h"
+#include "kumquatpitch/document-connection.h"
 
 #include <algorithm>
 #include <atomic>
-#include <chrono>
 #include <httplib.h>
 #include <set>
 #include <thread>
@@ -17,8 +17,6 @@
 
 constexpr std::size_t MaxConcurrentFetches = 16;
 
-using Clock = std::chrono::steady_clock;
-
 std::string describeError(httplib::Error Error) {
   switch (Error) {
   case httplib::Error::Connection:
@@ -26,38 +24,24 @@
     return "cannot connect";
   case httplib::Error::Read:
     return "incomplete response: timed out or connection lost";
-  case httplib::Error::Canceled:
-    return "incomplete response: timed out";
   default:
     return "request failed: " + httplib::to_string(Error);
   }
 }
 
 Result<std::string> fetchStatusText(const Endpoint &Address, Duration Timeout) {
-  httplib::Client Client(Address.Address_, Address.Port_);
-  Client.set_connection_timeout(Timeout);
-  Client.set_read_timeout(Timeout);
-  Client.set_write_timeout(Timeout);
-  Client.set_tcp_nodelay(true);
-  const Clock::time_point Deadline = Clock::now() + Timeout;
-  std::string Body;
-  // The deadline is checked here because the library's read timeout restarts
-  // with each read.
-  const auto Receive = [&](const char *Data, std::size_t Size) {
-    Body.append(Data, Size);
-    return Body.size() <= MaxDocumentBytes && Clock::now() < Deadline;
-  };
-  const httplib::Result Response = Client.Get("/status", Receive);
-  if (Body.size() > MaxDocumentBytes)
+  const DocumentAnswer Answer =
+      DocumentConnection(Address).get("/status", {}, Timeout, MaxDocumentBytes);
+  if (Answer.IsTooLarge_)
     return fail(ResultCode::DocumentTooLarge,
                 "report has more than " + std::to_string(MaxDocumentBytes) +
                     " bytes");
-  if (!Response)
-    return fail(ResultCode::HostUnreachable, describeError(Response.error()));
-  if (Response->status != 200)
+  if (Answer.Error_ != httplib::Error::Success)
+    return fail(ResultCode::HostUnreachable, describeError(Answer.Error_));
+  if (Answer.Response_.status != 200)
     return fail(ResultCode::HostUnreachable,
-                "HTTP status " + std::to_string(Response->status));
-  return Body;
+                "HTTP status " + std::to_string(Answer.Response_.status));
+  return Answer.Response_.body;
 }
 
 Result<HostStatus> fetchStatus(const HostAddress &From, Duration Timeout) {
