Front: bound the answers that callers have not read

What was seen: ten callers that ask for 16 MB and do not read made the host hold 168 MB for up to 10 s, with a limit of 64 MB for its buffers. The limit was checked only for requests. By reading, not by a run: answers counted against them, so that incomplete requests of other callers are refused.

UnreadAnswers counts answers apart from requests, with a limit of the same size. Beyond it the connections with the oldest ones are closed; the newest stays. A connection that waits for its close holds no answer any more. The count is shared with the connections, since the context may keep them for longer than the front.

Evidence: HttpFront.AnswersThatAreNotReadAreBounded failed with 168 MB held; it passes, and a caller that reads gets its whole answer meanwhile.

--- a/include/kumquatpitch/caller-session.h
+++ b/include/kumquatpitch/caller-session.h
@@ -38,6 +38,8 @@
   void onWritten(const std::error_code &Error, bool KeepOpen);
   /// Closes the sending side and discards input for a while before the close.
   void lingerBeforeClose();
+  /// Counts Output_ among the answers that the callers have not read.
+  void countUnread();
   void armTimer(std::chrono::milliseconds After);
   void onTimeout();
   void close();
@@ -47,6 +49,7 @@
   void updateHeldBytes();
 
   HttpFront &Front_;
+  const std::shared_ptr<UnreadAnswers> Unread_;
   const CustomerName Customer_;
   asio::ip::tcp::socket Socket_;
   asio::strand<asio::any_io_executor> Strand_;
@@ -54,8 +57,9 @@
   HttpFramer Framer_;
   std::array<char, 16'384> Chunk_;
   std::string Output_;
+  std::uint64_t UnreadKey_ = 0;              ///< Of Output_ in Unread_.
   std::shared_ptr<CallerPresence> Presence_; ///< Set while a handler runs.
-  /// Bytes of this session that are included in Front_.HeldBytes_.
+  /// Bytes of its requests that are included in Front_.HeldBytes_.
   std::size_t CountedBytes_ = 0;
   bool IsReading_ = false;
   bool IsHeadParsed_ = false;
--- a/include/kumquatpitch/http-front.h
+++ b/include/kumquatpitch/http-front.h
@@ -10,6 +10,7 @@
 #include "kumquatpitch/logger.h"
 #include "kumquatpitch/name.h"
 #include "kumquatpitch/peer-transport.h"
+#include "kumquatpitch/unread-answers.h"
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -57,8 +58,9 @@
 /// Resource limits and timeouts of the front.
 struct FrontLimits {
   std::size_t MaxConnections_ = 4'000;
-  std::size_t MaxWorkers_ = 64;                      ///< Concurrent requests.
-  std::size_t MaxBufferBytes_ = 64 << 20;            ///< Over all connections.
+  std::size_t MaxWorkers_ = 64;           ///< Concurrent requests.
+  std::size_t MaxBufferBytes_ = 64 << 20; ///< Over all connections; once for
+                                          ///< requests, once for answers.
   std::chrono::milliseconds RequestTimeout_{10'000}; ///< First to last byte.
   std::chrono::milliseconds IdleTimeout_{60'000};
   std::chrono::milliseconds WriteTimeout_{10'000};
@@ -96,6 +98,13 @@
   /// written or that the caller may not have read to its end.
   std::size_t busyConnections() const { return BusyConnections_; }
 
+  /// Answers whose connections were closed before their callers had read them,
+  /// since all together held more than MaxBufferBytes_.
+  std::uint64_t droppedAnswers() const { return Unread_->dropped(); }
+
+  /// Bytes of requests and answers that the connections hold.
+  std::size_t heldBytes() const { return HeldBytes_ + Unread_->bytes(); }
+
 private:
   friend class detail::CallerSession;
 
@@ -119,6 +128,8 @@
   std::atomic<std::size_t> BusyWorkers_{0};     ///< At most MaxWorkers_.
   std::atomic<std::size_t> BusyConnections_{0}; ///< At most Connections_.
   std::atomic<std::size_t> HeldBytes_{0}; ///< At most about MaxBufferBytes_.
+  /// Shared with the connections, which the context may keep for longer.
+  const std::shared_ptr<UnreadAnswers> Unread_;
 };
 
 } // namespace kumquatpitch
--- a/src/caller-session.cc
+++ b/src/caller-session.cc
@@ -13,13 +13,15 @@
 
 CallerSession::CallerSession(HttpFront &Front, CustomerName Customer,
                              asio::ip::tcp::socket Socket)
-    : Front_(Front), Customer_(std::move(Customer)), Socket_(std::move(Socket)),
+    : Front_(Front), Unread_(Front.Unread_), Customer_(std::move(Customer)),
+      Socket_(std::move(Socket)),
       Strand_(asio::make_strand(Socket_.get_executor())), Timer_(Strand_) {
   ++Front_.Connections_;
 }
 
 CallerSession::~CallerSession() {
   setBusy(false);
+  Unread_->remove(UnreadKey_);
   Front_.HeldBytes_ -= CountedBytes_;
   --Front_.Connections_;
 }
@@ -73,7 +75,7 @@
 }
 
 void CallerSession::updateHeldBytes() {
-  const std::size_t Held = Framer_.heldBytes() + Output_.size();
+  const std::size_t Held = Framer_.heldBytes();
   Front_.HeldBytes_ += Held;
   Front_.HeldBytes_ -= CountedBytes_;
   CountedBytes_ = Held;
@@ -172,7 +174,7 @@
   if (IsClosed_)
     return;
   Output_ = std::move(Bytes);
-  updateHeldBytes();
+  countUnread();
   armTimer(Front_.Limits_.WriteTimeout_);
   asio::async_write(
       Socket_, asio::buffer(Output_),
@@ -183,12 +185,23 @@
                           }));
 }
 
+void CallerSession::countUnread() {
+  UnreadKey_ =
+      Unread_->add(Output_.size(), [Strand = Strand_, Weak = weak_from_this()] {
+        asio::post(Strand, [Weak] {
+          if (const std::shared_ptr<CallerSession> Self = Weak.lock())
+            Self->close();
+        });
+      });
+}
+
 void CallerSession::onWritten(const std::error_code &Error, bool KeepOpen) {
+  Unread_->remove(UnreadKey_);
   if (Error)
     return close();
+  Output_ = std::string(); // An idle connection holds no buffer.
   if (!KeepOpen)
     return lingerBeforeClose();
-  Output_.clear();
   setBusy(false);
   IsHeadParsed_ = false;
   Framer_.next();
--- a/src/http-front.cc
+++ b/src/http-front.cc
@@ -36,7 +36,8 @@
 HttpFront::HttpFront(asio::io_context &Context, CallerHandler &Handler,
                      FrontLimits Limits)
     : Context_(Context), Handler_(Handler), Limits_(Limits),
-      Workers_(Limits.MaxWorkers_) {}
+      Workers_(Limits.MaxWorkers_),
+      Unread_(std::make_shared<UnreadAnswers>(Limits.MaxBufferBytes_)) {}
 
 HttpFront::~HttpFront() { join(); }
 
--- a/test/http-front-test.cc
+++ b/test/http-front-test.cc
@@ -5,11 +5,13 @@
 
 #include "child-process.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/write.hpp>
 #include <functional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -124,3 +126,24 @@
   Caller.close();
   CHECK(runUntil([&] { return Front_.busyConnections() == 0; }));
 }
+
+// Guards against answers of callers that do not read, which fill the host's
+// memory, and against failing those of callers that do.
+TEST(HttpFront, AnswersThatAreNotReadAreBounded) {
+  constexpr std::size_t SlowCallers = 10;
+  constexpr std::size_t MaxHeldBytes = (64 << 20) + 2 * LargeBodyBytes;
+  std::vector<asio::ip::tcp::socket> Callers;
+  std::size_t MostHeld = 0;
+  for (std::size_t Index = 0; Index < SlowCallers; ++Index) {
+    Callers.push_back(connect("/large"));
+    runUntil([&] { return Front_.busyWorkers() > 0; });
+    CHECK(runUntil([&] { return Front_.busyWorkers() == 0; }));
+    runUntil([&, Turns = 0]() mutable { return ++Turns > 4; });
+    MostHeld = std::max(MostHeld, Front_.heldBytes());
+  }
+  CHECK_TEXT(MostHeld <= MaxHeldBytes, std::to_string(MostHeld).c_str());
+  asio::ip::tcp::socket Reader = connect("/large");
+  std::string Received;
+  readInto(Reader, Received);
+  CHECK(runUntil([&] { return Received.size() > LargeBodyBytes; }));
+}
