Tests: documents of the store that are cut, and peer messages of any length

Each decoder of the store parses the whole text, so that each cut, a second document or other bytes behind it, and an empty body fail. nng closes the connection of a peer that announces 9 GB.

--- a/test/nng-transport-test.cc
+++ b/test/nng-transport-test.cc
@@ -7,6 +7,8 @@
 #include <condition_variable>
 #include <vector>
 
+#include "raw-connection.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpitch;
@@ -129,6 +131,23 @@
   CHECK_EQUAL(MaxDocumentBytes + 4'096, SecondInbox_.Messages_.front().size());
 }
 
+// Guards against a peer that announces a message of any length, which nng would
+// allocate.
+TEST(NngTransport, TooLongMessageFromAPeerClosesItsConnection) {
+  const std::string Greeting("\0SP\0\0\x50\0\0", 8);       // Of a push socket.
+  const std::string Length("\0\0\0\x02\x18\x71\x1a\0", 8); // 9 GB.
+  const test::RawConnection Peer(endpointOf(*Second_).Port_);
+  CHECK(Peer.isOpen());
+  Peer.write(Greeting + Length + std::string(10'000, 'x'));
+  const std::chrono::steady_clock::time_point Start =
+      std::chrono::steady_clock::now();
+  Peer.readAll();
+  CHECK(std::chrono::steady_clock::now() - Start < std::chrono::seconds(5));
+  CHECK(First_->send(endpointOf(*Second_), "one"));
+  CHECK(SecondInbox_.waitFor(1));
+  STRCMP_EQUAL("one", SecondInbox_.Messages_.front().c_str());
+}
+
 TEST(NngTransport, OpenFailsWhenTheAddressIsInUse) {
   Inbox Unused;
   CHECK_FALSE(NngTransport::open(endpointOf(*Second_), 8, Unused.receiver()));
--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -257,3 +257,32 @@
   for (const char *Malformed : {"", "x", "-1", "3x"})
     CHECK(Decoded(200, Malformed).Status_ == ReadStatus::Failed);
 }
+
+// Guards against taking a document without a length that was cut, or joined
+// with another one: only its JSON shows whether it is whole.
+TEST(StoreDecoder, CutOrJoinedDocumentsFail) {
+  const std::string Page =
+      R"({"AsOf":7,"items":[{"Key":"a","Revision":3}],"HasMore":false})";
+  const std::string Changes =
+      R"({"AsOf":7,"events":[{"Key":"a","Revision":3}]})";
+  const std::string Item = R"({"AsOf":7,"Key":"a","Revision":3})";
+  const auto Check = [](const std::string &Document, auto Decode) {
+    const auto StatusOf = [&](const std::string &Text) {
+      PublishedRead Read;
+      Read.Status_ = ReadStatus::Ok;
+      Decode(Text, Read);
+      return Read.Status_;
+    };
+    CHECK(StatusOf(Document) == ReadStatus::Ok);
+    for (std::size_t Size = 0; Size < Document.size(); ++Size)
+      CHECK_TEXT(StatusOf(Document.substr(0, Size)) == ReadStatus::Failed,
+                 Document.substr(0, Size).c_str());
+    for (const std::string &Behind :
+         {std::string("x"), std::string("HTTP/1.1 200 OK\r\n\r\n"), Document})
+      CHECK_TEXT(StatusOf(Document + Behind) == ReadStatus::Failed,
+                 Behind.c_str());
+  };
+  Check(Page, decodePage);
+  Check(Changes, decodeChanges);
+  Check(Item, decodeItem);
+}
