Tests: judge the answers of a gateway process that end early

The tests of it ran the front inside the test's process. In every second connection a relay turns a reset by the target into an orderly end.

ComposedTarget takes what it writes from an AnswerSource, and SoakProxy can end resets.

--- a/test/composed-target.h
+++ b/test/composed-target.h
@@ -1,7 +1,7 @@
-// A backend server on loopback that answers as AnswerComposer says. Each
+// A backend server on loopback that answers as an AnswerSource says. Each
 // connection has a thread; a write that is late goes out when it is due, also
-// into the answer to the next request. Used by composed-answers-test and
-// composed-attempts-test.
+// into the answer to the next request. Used by composed-answers-test,
+// composed-attempts-test and early-ends-process-test.
 
 #ifndef KUMQUATPITCH_COMPOSED_TARGET_H
 #define KUMQUATPITCH_COMPOSED_TARGET_H
@@ -21,15 +21,30 @@
 
 namespace kumquatpitch::test {
 
-/// What the servers of one run have written, by request id. Thread-safe.
-class ComposedRecord {
+/// Says what a server writes for a request. Thread-safe.
+class AnswerSource {
+public:
+  AnswerSource() = default;
+  virtual ~AnswerSource() = default;
+  AnswerSource(const AnswerSource &) = delete;
+  AnswerSource &operator=(const AnswerSource &) = delete;
+
+  virtual const ComposedHeaders &headers() const = 0;
+  /// `OlderId` is the request before it on the same connection, or empty.
+  virtual ComposedAnswer compose(const std::string &Id,
+                                 const std::string &OlderId) = 0;
+};
+
+/// What the servers of one run have written, by request id.
+class ComposedRecord : public AnswerSource {
 public:
   explicit ComposedRecord(std::uint64_t Seed, ComposedHeaders Headers = {})
       : Seed_(Seed), Headers_(std::move(Headers)) {}
 
-  const ComposedHeaders &headers() const { return Headers_; }
+  const ComposedHeaders &headers() const override { return Headers_; }
 
-  ComposedAnswer compose(const std::string &Id, const std::string &OlderId) {
+  ComposedAnswer compose(const std::string &Id,
+                         const std::string &OlderId) override {
     const std::lock_guard<std::mutex> Lock(Mutex_);
     std::vector<ComposedAnswer> &Answers = ById_[Id];
     AnswerComposer Composer(Seed_, Id + " " + std::to_string(Answers.size()),
@@ -52,8 +67,8 @@
 
 class ComposedTarget {
 public:
-  explicit ComposedTarget(ComposedRecord &Record)
-      : Record_(Record), Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit ComposedTarget(AnswerSource &Source)
+      : Source_(Source), Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -140,7 +155,7 @@
         if (End != std::string::npos) {
           const std::string Id = requestId(Input);
           Input.erase(0, End + 4);
-          Pending.add(Record_.compose(Id, OlderId), Clock::now());
+          Pending.add(Source_.compose(Id, OlderId), Clock::now());
           OlderId = Id;
         }
       }
@@ -151,7 +166,7 @@
   }
 
   std::string requestId(const std::string &Head) const {
-    const std::string Name = Record_.headers().RequestId_ + ": ";
+    const std::string Name = Source_.headers().RequestId_ + ": ";
     const std::size_t Start = Head.find(Name) + Name.size();
     return Head.substr(Start, Head.find("\r\n", Start) - Start);
   }
@@ -174,7 +189,7 @@
     return true;
   }
 
-  ComposedRecord &Record_;
+  AnswerSource &Source_;
   const int Listener_;
   std::uint16_t Port_ = 0;
   std::atomic<bool> IsStopping_ = false;
--- a/test/raw-connection.h
+++ b/test/raw-connection.h
@@ -44,6 +44,16 @@
     return Received;
   }
 
+  /// Appends the bytes that come next. Returns their number, 0 at the end of
+  /// the connection and a negative number for a reset or after 30 s.
+  ssize_t readSome(std::string &Received) const {
+    char Chunk[16'384];
+    const ssize_t ByteCount = recv(Socket_, Chunk, sizeof(Chunk), 0);
+    if (ByteCount > 0)
+      Received.append(Chunk, static_cast<std::size_t>(ByteCount));
+    return ByteCount;
+  }
+
 private:
   int Socket_;
   bool IsOpen_ = false;
--- a/test/soak-proxy.h
+++ b/test/soak-proxy.h
@@ -21,6 +21,9 @@
   Reset,         ///< Open and new connections are reset.
   DropResponses, ///< Bytes from the server to the client are dropped.
   DropAll,       ///< Bytes in both directions are dropped.
+  /// In every second connection a reset by the server reaches the client as an
+  /// orderly end.
+  EndResets,
 };
 
 class SoakProxy {
@@ -49,6 +52,7 @@
         : Client_(std::move(Client)), Server_(Context) {}
     Tcp::socket Client_;
     Tcp::socket Server_;
+    bool EndsResets_ = false;
     std::array<char, 8'192> ToServer_;
     std::array<char, 8'192> ToClient_;
   };
@@ -66,6 +70,7 @@
 
   void open(const std::shared_ptr<Connection> &Conn) {
     Connections_.insert(Conn);
+    Conn->EndsResets_ = Fault_ == ProxyFault::EndResets && ++Opened_ % 2 == 0;
     if (Fault_ == ProxyFault::Reset)
       return closeConnection(Conn, true);
     Conn->Server_.async_connect(
@@ -87,7 +92,9 @@
         [this, Conn, &From, &To, &Buffer,
          IsResponse](const asio::error_code &Error, std::size_t Size) {
           if (Error)
-            return closeConnection(Conn, Error != asio::error::eof);
+            return closeConnection(Conn,
+                                   Error != asio::error::eof &&
+                                       !(IsResponse && Conn->EndsResets_));
           if (Fault_ == ProxyFault::DropAll ||
               (Fault_ == ProxyFault::DropResponses && IsResponse))
             return pump(Conn, From, To, Buffer, IsResponse);
@@ -128,6 +135,7 @@
   Tcp::acceptor Acceptor_;
   const Tcp::endpoint Upstream_;
   ProxyFault Fault_ = ProxyFault::None;
+  std::uint64_t Opened_ = 0;
   std::set<std::shared_ptr<Connection>> Connections_;
 };
 
