Parser: tell the framing by which a response's body is read

What callers saw: a part of an answer, complete by a length, if the server writes its chunked coding in an unusual way, such as 'chunked, chunked', ',chunked' or with a tab behind it, and ends the connection in mid-answer.

Cause: two readings of one head. The http-parser library takes such a coding for none and reads the body, raw chunks included, up to the end of the connection. bodyFraming() read the fields once more, found a last coding of chunked, and so counted the end of the connection for a last chunk: the check for answers that nothing proves did not apply, and the host stated a length.

Evidence: GatewayUnframed.OddChunkedCodingIsNoProof got a 200 with Content-Length: 13 and the raw part of a chunk before, 502 after. MessageParser.FramingIsTheOneOfTheParser compares both readings of ten heads.

Now the parser records with the head how it reads the body, and bodyFraming() starts from that.

--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -27,7 +27,8 @@
   bool KeepAlive_ = true;
   bool IsHttp10_ = false; ///< Responses only: HTTP/1.0.
   /// Responses only: nothing but the end of the connection tells the end of the
-  /// body. Set by a relay that cannot know the length, either.
+  /// body. Set by the parser, and by a relay that cannot know the length,
+  /// either.
   bool EndsWithConnection_ = false;
   /// Responses only: the response to HEAD, which has no body, whatever its
   /// headers say.
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -34,9 +34,26 @@
          Response.IsBodyOmitted_;
 }
 
+/// True if the parser reads the body of this response up to the end of the
+/// connection, whatever the fields seem to say.
+static bool isReadUntilClose(const http_parser &Parser) {
+  constexpr unsigned FirstFinalStatus = 200;
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned NotModified = 304;
+  if ((Parser.flags & F_CHUNKED) != 0)
+    return false;
+  if (Parser.uses_transfer_encoding != 0)
+    return true;
+  return (Parser.flags & F_CONTENTLENGTH) == 0 &&
+         Parser.status_code >= FirstFinalStatus &&
+         Parser.status_code != NoContent && Parser.status_code != NotModified;
+}
+
 BodyFraming bodyFraming(const HttpMessage &Response) {
   if (Response.IsBodyOmitted_)
     return BodyFraming::Length;
+  if (Response.EndsWithConnection_)
+    return BodyFraming::UntilClose;
   // Only a last coding of "chunked" tells the end of the body. Several fields
   // are one list.
   const std::string *Coding = nullptr;
@@ -274,6 +291,8 @@
   // The parser library skips the body if this returns 1.
   if (Self.Message_.IsBodyOmitted_)
     return 1;
+  Self.Message_.EndsWithConnection_ =
+      Self.Kind_ == Kind::Response && isReadUntilClose(*Parser);
   if ((Parser->flags & F_CONTENTLENGTH) != 0 &&
       Parser->content_length > Self.MaxBodyBytes_)
     return Self.reject(ResultCode::RequestBodyTooLarge);
--- a/test/gateway-unframed-test.cc
+++ b/test/gateway-unframed-test.cc
@@ -150,3 +150,30 @@
   CHECK_TEXT(runUntilReceived("HTTP/1.1 "), Received_.c_str());
   CHECK_TEXT(Received_.starts_with("HTTP/1.1 502"), Received_.c_str());
 }
+
+// Guards against two readings of one head. The parser takes a chunked coding
+// that is written in an unusual way for none, and reads up to the end of the
+// connection: the answer is then without a length, and its body is raw chunks.
+TEST(GatewayUnframed, OddChunkedCodingIsNoProof) {
+  for (const char *Coding : {"chunked\t", ",chunked", "chunked, chunked"}) {
+    startTarget([Coding](Socket &Connection, const std::string &Request) {
+      if (!hasCompleteHead(Request))
+        return false;
+      sendText(Connection, "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " +
+                               requestIdOf(Request) +
+                               "\r\nKumquatpitch-Answer-Signature: s\r\n"
+                               "Transfer-Encoding: " +
+                               Coding +
+                               "\r\nConnection: close\r\n\r\n"
+                               "a\r\nfirst half");
+      Connection.shutdown(Socket::shutdown_send);
+      return true;
+    });
+    useNewTarget();
+    Received_.clear();
+    Caller_ = asio::ip::tcp::socket(Context_);
+    call(request("/book/1", "id1", "POST"));
+    CHECK_TEXT(runUntilReceived("HTTP/1.1 502"), Received_.c_str());
+    Target_.reset();
+  }
+}
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -153,3 +153,28 @@
     CHECK(Parser.code() == ResultCode::RequestBodyTooLarge);
   }
 }
+
+// Guards against two readings of one head: the framing that is told has to be
+// the one by which the body is read.
+TEST(MessageParser, FramingIsTheOneOfTheParser) {
+  const std::string Heads[] = {"Transfer-Encoding: chunked",
+                               "Transfer-Encoding: chunked\t",
+                               "Transfer-Encoding: ,chunked",
+                               "Transfer-Encoding: chunked, chunked",
+                               "Transfer-Encoding: c, chunked",
+                               "Transfer-Encoding: gzip, chunked",
+                               "Transfer-Encoding: gzip",
+                               "Content-Length: 9",
+                               "Content-Length: 9 ",
+                               "X: y"};
+  for (const std::string &Head : Heads) {
+    MessageParser Cut(Kind::Response, HeadLimit, BodyLimit);
+    Cut.feed("HTTP/1.1 200 OK\r\n" + Head + "\r\n\r\n5\r\ncut");
+    CHECK_TEXT(Cut.state() == ParseState::Body, Head.c_str());
+    const BodyFraming Framing = bodyFraming(Cut.message());
+    Cut.finish();
+    CHECK_TEXT((Cut.state() == ParseState::Complete) ==
+                   (Framing == BodyFraming::UntilClose),
+               Head.c_str());
+  }
+}
