Gateway: a 421 with another answer behind it does not say not run

What callers saw: 503, which says that a booking has not run, although the server had also answered that it is done. A route with several targets would have sent the booking to another one.

Evidence: GatewayUnframed.MisdirectedBeforeASuccessDoesNotClaimNotRun got 503 with code 4002 before, 502 after.

--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -216,9 +216,10 @@
     constexpr int Misdirected = 421;
     constexpr int FirstFailureStatus = 400;
     // A 421 also says that the request has not run, so it is checked before the
-    // header for that.
+    // header for that. Like a refusal it says so only alone.
     if (Answer.Status_ == Misdirected)
-      return AttemptOutcome::OtherInstance;
+      return Result.StrayBytes_ == 0 ? AttemptOutcome::OtherInstance
+                                     : AttemptOutcome::Broken;
     // A refusal is a failure, and nothing else is said about the request.
     if (Answer.header(Dependencies_.Headers_.NotRun_))
       return Answer.Status_ >= FirstFailureStatus && Result.StrayBytes_ == 0
--- a/test/gateway-unframed-test.cc
+++ b/test/gateway-unframed-test.cc
@@ -177,3 +177,21 @@
     Target_.reset();
   }
 }
+
+// Guards against an untrue "not run": the server gives two whole answers to one
+// request, one that it is not the instance meant, and one that it is done.
+TEST(GatewayUnframed, MisdirectedBeforeASuccessDoesNotClaimNotRun) {
+  startTarget([](Socket &Connection, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    const std::string Id = requestIdOf(Request);
+    sendText(Connection,
+             "HTTP/1.1 421 Misdirected Request\r\nKumquatpitch-Request-Id: " +
+                 Id + "\r\n" + GatewayHeaders().NotRun_ +
+                 ": 1\r\nContent-Length: 0\r\n\r\n" + answer(Id, "done"));
+    return true;
+  });
+  call(request("/book/1", "id1", "POST"));
+  CHECK_TEXT(runUntilReceived("HTTP/1.1 "), Received_.c_str());
+  CHECK_TEXT(received("HTTP/1.1 502"), Received_.c_str());
+}
