HttpServer: end a response without a length by a reset if it is cut

What callers saw: a part of an answer of a declared service as a whole one, if the host closes the connection while it writes: for memory, after the time for a write, or at its own end.

Cause: the response has no length, and closing the socket sends an orderly end, which is what tells the caller that the response is whole.

Evidence: GatewayMemory.ClosedCallerDoesNotTakeAPartOfAnUnframedAnswerForAll read an orderly end behind a part of the body before, a reset after. Only the closing for memory was run.

--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -54,6 +54,10 @@
       return;
     IsClosed_ = true;
     asio::error_code Ignored;
+    // Only the end of the connection tells the end of this response. An orderly
+    // one in the middle would pass for it; without lingering it is a reset.
+    if (EndsWithConnection_ && (IsWriting_ || !Outgoing_.empty()))
+      Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
     Socket_.close(Ignored);
     Timer_.cancel();
     WriteTimer_.cancel();
@@ -323,6 +327,7 @@
     if (!Waiting_.empty())
       return Ended.replaceResponse(
           reject(ResultCode::BackendBroken, Ended.request()));
+    EndsWithConnection_ = true;
     Phase_.acceptNoMore();
     Unparsed_.clear();
   }
@@ -435,6 +440,7 @@
   bool IsClosed_ = false;
   bool IsEvicted_ = false; ///< About to be closed for its memory.
   ConnectionPhase Phase_;
+  bool EndsWithConnection_ = false; ///< The last response has no length.
   bool SentContinue_ = false;
   bool IsRestTimed_ = false; ///< Timer_ runs for the rest of a request.
 };
--- a/test/gateway-memory-test.cc
+++ b/test/gateway-memory-test.cc
@@ -263,3 +263,32 @@
   CHECK(!logLine("request rejected code=request_body_too_large id=too-long")
              .empty());
 }
+
+// Guards against a part of an answer that passes for a whole one, because the
+// host closes the connection of a caller that does not read, and the answer has
+// no length: the end has to be a reset.
+TEST(GatewayMemory, ClosedCallerDoesNotTakeAPartOfAnUnframedAnswerForAll) {
+  declareUnframed();
+  Server_.setMaxResponseBytes(LargeBodyBytes / 2);
+  startTarget([](ScriptedTarget::Socket &Socket, const std::string &Request) {
+    if (!hasCompleteHead(Request))
+      return false;
+    sendText(Socket, "HTTP/1.1 200 OK\r\nKumquatpitch-Request-Id: " +
+                         requestIdOf(Request) +
+                         "\r\nKumquatpitch-Answer-Signature: s\r\n"
+                         "Connection: close\r\n\r\n" +
+                         std::string(LargeBodyBytes, 'x'));
+    Socket.shutdown(ScriptedTarget::Socket::shutdown_send);
+    return true;
+  });
+  Caller_.open(asio::ip::tcp::v4());
+  Caller_.set_option(asio::socket_base::receive_buffer_size(4'096));
+  Caller_.connect(localEndpoint(FrontPort));
+  sendText(Caller_, request("/large/1", "id1"));
+  CHECK(runUntil([this] { return counter("slow_callers_closed") == 1; }));
+  CHECK(runUntil([this] { return Server_.connections() == 0; }));
+  asio::error_code End;
+  asio::read(Caller_, asio::dynamic_buffer(Received_), End);
+  CHECK(Received_.size() < LargeBodyBytes);
+  CHECK_TEXT(End == asio::error::connection_reset, End.message().c_str());
+}
