MessageParser: limit the fields of a head to 256

What was seen (bytes without end, in a head): a target that sends 18,000 fields `a:` and then goes on slowly, within the limit of 32,768 bytes of names and values, made the process hold about 1.2 MB for each call; a caller could do the same with 16,000 fields. No limit of memory counts heads, so that 100 of them exceeded memory_mb = 96.

Cause: a head was limited by its bytes, but each field takes two strings, 64 bytes, however short it is, and the list of fields doubles as it grows.

Evidence: MessageParser.RejectsMoreFieldsThanAHeadMayHave failed before.

With 256 fields the list takes 16 KB, no more than the bytes of a head. Longer heads are answered as those that have too many bytes: RequestHeadTooLarge, and 502 for answers.

--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -153,6 +153,9 @@
   return Table;
 }();
 
+/// Each field takes two strings in memory, however few bytes it has.
+static constexpr std::size_t MaxFields = 256;
+
 static MessageParser &parserOf(http_parser *Parser) {
   return *static_cast<MessageParser *>(Parser->data);
 }
@@ -255,8 +258,11 @@
   // Trailers are dropped: they must not change what the head has said.
   if (Self.State_ == State::Body)
     return 0;
-  if (Self.LastWasValue_ || Self.Message_.Headers_.empty())
+  if (Self.LastWasValue_ || Self.Message_.Headers_.empty()) {
+    if (Self.Message_.Headers_.size() == MaxFields)
+      return Self.reject(ResultCode::RequestHeadTooLarge);
     Self.Message_.Headers_.emplace_back();
+  }
   Self.LastWasValue_ = false;
   Self.Message_.Headers_.back().first.append(Data, Size);
   return 0;
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -54,6 +54,23 @@
   CHECK(Chunked.code() == ResultCode::RequestBodyTooLarge);
 }
 
+// Guards against heads that take many times their bytes in memory: each field
+// takes two strings, however short it is.
+TEST(MessageParser, RejectsMoreFieldsThanAHeadMayHave) {
+  constexpr int MaxFields = 256;
+  std::string Head = "GET / HTTP/1.1\r\n";
+  for (int Field = 0; Field < MaxFields; ++Field)
+    Head += "a:\r\n";
+  MessageParser Most(Kind::Request, 10 * HeadLimit, BodyLimit);
+  Most.feed(Head + "\r\n");
+  CHECK(Most.state() == ParseState::Complete);
+  MessageParser TooMany(Kind::Response, 10 * HeadLimit, BodyLimit);
+  TooMany.feed("HTTP/1.1 200 OK\r\n" + Head.substr(Head.find('\n') + 1) +
+               "a:\r\n");
+  CHECK(TooMany.state() == ParseState::Rejected);
+  CHECK(TooMany.code() == ResultCode::RequestHeadTooLarge);
+}
+
 // Guards against request smuggling: with two lengths in a request, two parsers
 // may disagree on where it ends.
 TEST(MessageParser, RejectsRequestWithTwoLengths) {
