Gateway: return the memory of freed bodies to the system

What was seen (bytes without end, real processes, memory_mb = 96): the process held far more than the bytes that its limits count. Cause: when a large block is freed, the C library raises the size from which it asks the system for blocks of their own, up to 32 MB. Bodies then come from the heap, where freed ones stay in the process, and a growing body leaves its former copies behind.

A fixed threshold makes the library give each body of 128 KB or more back when it is freed. The costs are two system calls and fresh pages for each such body; their effect on latency was not measured. Other C libraries are left as they are.

--- a/src/gateway-command.cc
+++ b/src/gateway-command.cc
@@ -8,6 +8,7 @@
 
 #include <getopt.h>
 #include <iostream>
+#include <malloc.h>
 
 namespace kumquatpitch {
 
@@ -19,6 +20,16 @@
     "  --check  check the settings and exit\n"
     "SIGTERM starts the planned stop; SIGHUP reads the settings again.\n";
 
+/// Makes the C library return the memory of bodies to the system when they are
+/// freed. By default it raises the size from which it does so, up to 32 MB, and
+/// the freed ones, which no limit counts, stay in the process.
+void returnFreedBodies() {
+#ifdef __GLIBC__
+  constexpr int FixedThresholdBytes = 128 << 10;
+  mallopt(M_MMAP_THRESHOLD, FixedThresholdBytes);
+#endif
+}
+
 int runDaemon(const std::string &File, bool OnlyCheck) {
   return handleFailure(
       [&]() -> Result<int> {
@@ -27,6 +38,7 @@
           std::cout << File << ": ok\n";
           return 0;
         }
+        returnFreedBodies();
         const PlatformAdapter Platform;
         GatewayDaemon Daemon(std::move(Settings), File, Platform);
         BOOST_LEAF_CHECK(Daemon.run());
