HttpServer: write long responses without joining them

Cause: responses that wait for the write in progress were appended to one string. Each time it grew, it was copied, so that a caller who does not read made the process hold all of its responses twice, of which the limit counts one.

Now a response is appended only up to 64 KB; a longer one is a write of its own.

--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -21,6 +21,7 @@
 /// further ones wait unparsed or in the socket.
 constexpr std::size_t MaxPipelined = 16;
 constexpr std::size_t ReadBytes = 8'192;
+constexpr std::size_t MaxSharedWriteBytes = 65'536;
 /// How long input is still read after the last response. Closing with unread
 /// input would send a reset, which can discard the response.
 constexpr Duration LingerTime = std::chrono::milliseconds(500);
@@ -107,14 +108,21 @@
   /// The requests whose responses wait for their turn or for the caller to
   /// read. Requests without a response are reported by their exchanges.
   RequestIdList unread() const {
-    RequestIdList Unread = WritingIds_;
-    Unread.add(OutgoingIds_);
+    RequestIdList Unread = Writing_.Ids_;
+    for (const QueuedWrite &Queued : Outgoing_)
+      Unread.add(Queued.Ids_);
     for (const std::shared_ptr<Exchange> &Accepted : Waiting_)
       if (Accepted->response())
         Unread.add(Server_.Handler_.requestId(Accepted->request()));
     return Unread;
   }
 
+  /// Responses that are written at once, and the requests that they answer.
+  struct QueuedWrite {
+    std::string Text_;
+    RequestIdList Ids_;
+  };
+
   class Exchange : public HttpExchange {
   public:
     Exchange(std::weak_ptr<HttpSession> Session, HttpMessage Request)
@@ -244,7 +252,9 @@
   void countResponses() {
     if (IsEvicted_ || IsClosed_)
       return;
-    std::uint64_t Bytes = Outgoing_.size() + WriteBuffer_.size();
+    std::uint64_t Bytes = Writing_.Text_.size();
+    for (const QueuedWrite &Queued : Outgoing_)
+      Bytes += Queued.Text_.size();
     for (const std::shared_ptr<Exchange> &Accepted : Waiting_)
       if (Accepted->response())
         Bytes += Accepted->response()->Body_.size();
@@ -297,7 +307,19 @@
 
   void sendContinue() {
     SentContinue_ = true;
-    Outgoing_.append("HTTP/1.1 100 Continue\r\n\r\n");
+    queue("HTTP/1.1 100 Continue\r\n\r\n", std::nullopt);
+  }
+
+  /// Short responses share a write. A long one is not copied to those before
+  /// it, which would hold all of them twice.
+  void queue(std::string Text, const std::optional<std::string> &RequestId) {
+    if (!Outgoing_.empty() &&
+        Outgoing_.back().Text_.size() + Text.size() <= MaxSharedWriteBytes)
+      Outgoing_.back().Text_.append(Text);
+    else
+      Outgoing_.push_back(QueuedWrite{std::move(Text), RequestIdList()});
+    if (RequestId)
+      Outgoing_.back().Ids_.add(*RequestId);
   }
 
   /// Queues the responses at the head of the pipeline that are ready.
@@ -311,11 +333,7 @@
           !Waiting_.empty() || !Unparsed_.empty(), Server_.IsDraining_);
       const bool OmitBody = First->request().Method_ == "HEAD";
       std::string Text = writeResponse(*First->response(), IsLast, OmitBody);
-      if (Outgoing_.empty())
-        Outgoing_ = std::move(Text);
-      else
-        Outgoing_.append(Text);
-      OutgoingIds_.add(Server_.Handler_.requestId(First->request()));
+      queue(std::move(Text), Server_.Handler_.requestId(First->request()));
     }
     holdBodies(); // Never more than before.
   }
@@ -336,17 +354,15 @@
     if (IsWriting_ || Outgoing_.empty() || IsClosed_)
       return;
     IsWriting_ = true;
-    WriteBuffer_ = std::move(Outgoing_);
-    Outgoing_ = std::string();
-    WritingIds_ = std::move(OutgoingIds_);
-    OutgoingIds_ = RequestIdList();
+    Writing_ = std::move(Outgoing_.front());
+    Outgoing_.pop_front();
     const std::shared_ptr<HttpSession> Self = shared_from_this();
     WriteTimer_.expires_after(WriteTimeout);
     WriteTimer_.async_wait([Self](const asio::error_code &Error) {
       if (!Error && Self->IsWriting_)
         Self->close();
     });
-    asio::async_write(Socket_, asio::buffer(WriteBuffer_),
+    asio::async_write(Socket_, asio::buffer(Writing_.Text_),
                       [Self](const asio::error_code &Error, std::size_t) {
                         Self->writeCompleted(Error);
                       });
@@ -355,8 +371,7 @@
   void writeCompleted(const asio::error_code &Error) {
     IsWriting_ = false;
     WriteTimer_.cancel();
-    WriteBuffer_ = std::string(); // An idle connection holds no buffer.
-    WritingIds_ = RequestIdList();
+    Writing_ = QueuedWrite(); // An idle connection holds no buffer.
     if (IsClosed_)
       return;
     countResponses();
@@ -426,14 +441,12 @@
   const CallerLimits Limits_;
   MessageParser Parser_;
   std::array<char, ReadBytes> Buffer_;
-  std::string Unparsed_;    ///< Received but not parsed yet.
-  std::string Outgoing_;    ///< Queued for the next write.
-  std::string WriteBuffer_; ///< Used by the write in progress.
+  std::string Unparsed_;             ///< Received but not parsed yet.
+  std::deque<QueuedWrite> Outgoing_; ///< Not yet being written.
+  QueuedWrite Writing_;              ///< Used by the write in progress.
   std::deque<std::shared_ptr<Exchange>> Waiting_; ///< At most MaxPipelined + 1.
   std::uint64_t HeldBytes_ = 0;     ///< Its part of Server_.Bodies_.
   std::uint64_t ResponseBytes_ = 0; ///< Its part of Server_.ResponseBytes_.
-  RequestIdList OutgoingIds_; ///< Requests whose responses Outgoing_ holds.
-  RequestIdList WritingIds_;  ///< The same for WriteBuffer_.
   bool IsReading_ = false;
   bool IsWriting_ = false;
   bool IsAdvancing_ = false;
