--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -286,3 +286,20 @@
   Check(Changes, decodeChanges);
   Check(Item, decodeItem);
 }
+
+// Guards against a process that runs out of memory with one answer: 8 MB of
+// nested arrays took 600 MB when parsed.
+TEST(StoreDecoder, DeeplyNestedAnswerIsNotParsedToItsEnd) {
+  const auto PageWithArrays = [](std::size_t Depth) {
+    return R"({"AsOf":1,"items":[],"New":)" + std::string(Depth, '[') +
+           std::string(Depth, ']') + "}";
+  };
+  PublishedRead Read;
+  Read.Status_ = ReadStatus::Ok;
+  decodePage(PageWithArrays(10), Read);
+  CHECK(Read.Status_ == ReadStatus::Ok);
+  decodePage(PageWithArrays(1'000), Read);
+  CHECK(Read.Status_ == ReadStatus::Failed);
+  CHECK_TEXT(Read.Detail_.ends_with("JSON is nested too deeply"),
+             Read.Detail_.c_str());
+}
