Gateway: identify callers by the keys of their workspaces

Cause: keys were forwarded to backend servers as they came, and requests with unknown or withdrawn keys ran; workspaces were read nowhere. Change: the decoder reads workspaces and keeps digests of their keys; AdmissionControl names the caller's workspace or refuses with 401, and asks for a proof that the configuration is recent where the deployment sets a revocation time (nothing gives that proof yet, so keys are refused there). The backend server gets the workspace's name and never the key. The priority of a workspace goes before the route's, and the queue goes by FairOrder.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -7,6 +7,9 @@
 #ifndef KUMQUATPITCH_GATEWAY_CORE_H
 #define KUMQUATPITCH_GATEWAY_CORE_H
 
+#include "kumquatpitch/admission/admission-control.h"
+#include "kumquatpitch/admission/fair-order.h"
+#include "kumquatpitch/attempt-outcome.h"
 #include "kumquatpitch/gateway-refusal.h"
 #include "kumquatpitch/queue-wait.h"
 #include "kumquatpitch/random-source.h"
@@ -33,6 +36,7 @@
   double ResendRatio_ = 0.2; ///< Resends allowed per request.
   double ResendSlack_ = 0;   ///< Resends beyond the ratio, fleet-wide.
   Duration ResendWindow_ = std::chrono::seconds(10);
+  AdmissionOptions Admission_{};
 
   bool operator==(const GatewayOptions &) const = default;
 };
@@ -42,6 +46,7 @@
   std::string Host_;                 ///< Virtual host, without a port.
   std::string Path_;                 ///< Without the query.
   std::optional<Duration> TimeLeft_; ///< Time to the caller's deadline.
+  Credential Credential_{};          ///< Names the caller's workspace.
 
   bool operator==(const RequestHead &) const = default;
 };
@@ -50,6 +55,9 @@
 struct GatewayRequest {
   std::shared_ptr<const RouteTable> Table_; ///< Keeps Route_ alive.
   const VirtualRoute *Route_ = nullptr;
+  CallerIdentity Caller_;
+  RequestPriority Priority_;
+  double Weight_ = 1; ///< Of its workspace among those that wait.
   ServiceName Service_;
   TimePoint ArrivedAt_;
   TimePoint DeadlineAt_; ///< The caller's deadline or the route's
@@ -85,21 +93,6 @@
 
 using Placement = std::variant<GatewayRefusal, GatewayAttempt, QueuedForTarget>;
 
-/// How an attempt ended, as seen on the connection.
-enum class AttemptOutcome : std::uint8_t {
-  Success,       ///< Complete successful response.
-  Failure,       ///< Complete response with an error.
-  Refused,       ///< The target reports that it did not execute the request.
-  OtherInstance, ///< Another instance has the address; it executed nothing.
-  NotConnected,  ///< No byte was sent.
-  Broken,        ///< Sent; the response is missing, truncated or malformed.
-  TimedOut,      ///< Sent; no response before the request's deadline.
-  Cancelled,     ///< The caller disconnected or another attempt won.
-};
-
-/// Stable name of an outcome for logs, such as `not_connected`.
-const char *attemptOutcomeName(AttemptOutcome Outcome);
-
 /// What to do after an attempt.
 enum class GatewayStep : std::uint8_t {
   Deliver, ///< Forward the attempt's response to the caller.
@@ -138,6 +131,9 @@
   /// placeQueuedRequests().
   void beginStop(TimePoint LatestDeadline) { LatestDeadline_ = LatestDeadline; }
 
+  /// Decides who sent a request and whether it may run.
+  AdmissionControl &admission() { return Admission_; }
+
   bool hasTable() const { return Table_ != nullptr; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
 
@@ -218,15 +214,20 @@
     TargetBalancer Balancer_;
     ResendBudget Budget_;
     QueueWait Wait_;
+    FairOrder Order_;
     std::vector<std::shared_ptr<GatewayRequest>> Queue_;
     std::size_t CallerHosts_ = 1; ///< Hosts that share the service's requests.
   };
   using PlacedRequests =
       std::vector<std::pair<std::shared_ptr<GatewayRequest>, Placement>>;
 
-  bool mayStillSend(const GatewayRequest &Request) const {
+  bool endsBeforeStop(const GatewayRequest &Request) const {
     return !LatestDeadline_ || Request.DeadlineAt_ <= *LatestDeadline_;
   }
+  bool mayStillSend(const GatewayRequest &Request, TimePoint Now) const {
+    return endsBeforeStop(Request) &&
+           Admission_.mayRun(Request.Caller_, *Table_, Now);
+  }
   ResendLimits resendLimits(const ServiceName &Name) const;
   Duration meanLatency(const VirtualRoute &Route) const;
   Duration expectedLatency(const VirtualRoute &Route) const;
@@ -258,6 +259,7 @@
   ServiceState &findOrCreateService(const ServiceName &Name);
 
   GatewayOptions Options_;
+  AdmissionControl Admission_;
   RandomSource &Random_;
   /// This host's share of the fleet's resend slack, for the services whose
   /// callers are given this host.
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -10,6 +10,7 @@
 #include "kumquatpitch/gateway-settings.h"
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/peer-channel.h"
+#include "kumquatpitch/peer-reports.h"
 #include "kumquatpitch/stop-schedule.h"
 #include "kumquatpitch/store-follower.h"
 #include "kumquatpitch/store-read-log.h"
@@ -20,20 +21,16 @@
 
 namespace kumquatpitch {
 
-class GatewayDaemon : public EvidenceSink {
+class GatewayDaemon {
 public:
   GatewayDaemon(GatewaySettings Settings, std::string SettingsFile,
                 const GatewayPlatform &Platform);
-  ~GatewayDaemon() override;
+  ~GatewayDaemon();
 
   /// Serves until a planned stop has finished. Fails if one of the ports cannot
   /// be opened.
   Result<void> run();
 
-  /// Skips a failure of a target that follows another within EvidenceInterval.
-  void broadcastEvidence(const TargetEntry &Target,
-                         TargetObservation Observation) override;
-
 private:
   class DirectoryHandler;
   class MetricsHandler;
@@ -49,11 +46,9 @@
   void startRead(const ReadRequest &Order);
   void onReadEnded(const ReadRequest &Order, const PublishedRead &Read);
   void apply(const FollowResult &Result);
-  void logUnknownKinds(const RoutingConfig &Config);
+  void logConfigProblems(const RouteTable &Table);
   void sendChangesToOwnDomain(const StoreChangesMessage &Message);
   void updateCallerHosts();
-  void sendOutcomeCounts(TimePoint Now);
-  void sendRateLimitUpdates(TimePoint Now);
   void updateState();
   /// Reads the settings file again and applies its seeds; all other settings
   /// need a restart. Unless `IsSignalled`, does nothing if the seeds are the
@@ -89,16 +84,12 @@
   HttpServer MetricsServer_;
   asio::ip::udp::socket Datagrams_;
   PeerChannel Peers_;
+  PeerReports Reports_;
   asio::ip::udp::endpoint Sender_;
   std::array<char, 2'048> DatagramBuffer_;
   asio::signal_set Signals_;
-  /// For each service, the addresses of the other hosts that its callers use.
-  std::map<ServiceName, std::vector<std::string>> CallerHostAddresses_;
   /// Value of Membership_.changes() last applied.
   std::uint64_t AppliedMembershipChanges_ = 0;
-  /// When a failure of the target was last sent to the other hosts. Entries
-  /// older than EvidenceInterval are dropped.
-  std::map<TargetId, TimePoint> LastEvidenceAt_;
   std::optional<StopSchedule> Stop_; ///< Set during a planned stop.
 };
 
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -30,6 +30,8 @@
   std::string TargetLoad_ = "Kumquatpitch-Target-Load";
   std::string TargetRateLimit_ = "Kumquatpitch-Target-Rate-Limit";
 
+  std::string Workspace_ = "Kumquatpitch-Workspace";
+
   bool operator==(const GatewayHeaders &) const = default;
 };
 
--- a/include/kumquatpitch/gateway-settings.h
+++ b/include/kumquatpitch/gateway-settings.h
@@ -42,6 +42,16 @@
   Duration StopTimeout_ = std::chrono::seconds(6);
   /// Services whose answers may end with their connection.
   UnframedServices UnframedServices_;
+  /// How long after its withdrawal was confirmed a key may still be accepted;
+  /// 0 when no such limit is kept.
+  Duration KeyRevocationTime_{};
+  /// Longest span over which workspaces' limits are judged; 0 when unknown.
+  Duration LimitWindow_{};
+  /// What all hosts together may run beyond a workspace's limit in such a
+  /// window, as a share of the limit and as a number of requests.
+  double LimitOverage_ = 0;
+  double LimitSlack_ = 0;
+  double LinkMbps_ = 0; ///< Speed of the host's network link; 0 if unknown.
   LogLevel LogLevel_ = LogLevel::Info;
 
   bool operator==(const GatewaySettings &) const = default;
--- a/include/kumquatpitch/name.h
+++ b/include/kumquatpitch/name.h
@@ -35,6 +35,7 @@
 using CustomerName = Name<struct CustomerTag>;
 using FailureDomain = Name<struct FailureDomainTag>;
 using Region = Name<struct RegionTag>;
+using WorkspaceName = Name<struct WorkspaceTag>;
 
 /// Identifies one run of a daemon: a random number chosen at start, never zero.
 using Incarnation = std::uint64_t;
--- a/include/kumquatpitch/queue-wait.h
+++ b/include/kumquatpitch/queue-wait.h
@@ -7,6 +7,7 @@
 #ifndef KUMQUATPITCH_QUEUE_WAIT_H
 #define KUMQUATPITCH_QUEUE_WAIT_H
 
+#include "kumquatpitch/admission/request-priority.h"
 #include "kumquatpitch/time-point.h"
 
 #include <cstddef>
@@ -28,8 +29,8 @@
 
 /// What decides how long a queued request has to wait.
 struct QueuePosition {
-  std::size_t Ahead_ = 0;      ///< Queued requests that are placed before it.
-  std::uint32_t Priority_ = 0; ///< 0 is the highest.
+  std::size_t Ahead_ = 0; ///< Queued requests that are placed before it.
+  RequestPriority Priority_;
   /// True when it comes after all requests that can meet their objective, also
   /// after those that have yet to arrive.
   bool IsBehindAll_ = false;
@@ -40,7 +41,7 @@
 class QueueWait {
 public:
   /// Counts a request that arrived from a caller.
-  void requestArrived(std::uint32_t Priority, TimePoint Now);
+  void requestArrived(const RequestPriority &Priority, TimePoint Now);
 
   /// Counts an attempt that was sent while `IsQueueEmpty` or not. Only a queue
   /// that is not empty shows how fast the targets take requests.
@@ -64,7 +65,7 @@
   /// Arrivals per second of requests that are placed before one of `Position`.
   double arrivalRateAhead(const QueuePosition &Position, TimePoint Now) const;
 
-  std::map<std::uint32_t, DecayingSum> ArrivalsByPriority_;
+  std::map<RequestPriority, DecayingSum> ArrivalsByPriority_;
   DecayingSum AllDepartures_;
   DecayingSum Departures_;  ///< While the queue was not empty.
   DecayingSum BusySeconds_; ///< Time with a queue that is not empty, up to
--- a/include/kumquatpitch/result-code.h
+++ b/include/kumquatpitch/result-code.h
@@ -44,6 +44,8 @@
   RequestIncomplete = 3011,
   CallerGone = 3012,
   RequestAlreadyRan = 3013,
+  KeyUnknown = 3014,
+  KeyUnproven = 3015,
   BackendUnreachable = 4001,
   BackendRefused = 4002,
   BackendTimeout = 4003,
--- a/include/kumquatpitch/routing-config.h
+++ b/include/kumquatpitch/routing-config.h
@@ -5,10 +5,12 @@
 #ifndef KUMQUATPITCH_ROUTING_CONFIG_H
 #define KUMQUATPITCH_ROUTING_CONFIG_H
 
+#include "kumquatpitch/admission/workspace-index.h"
 #include "kumquatpitch/name.h"
 #include "kumquatpitch/time-point.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -45,6 +47,7 @@
   std::uint32_t MaxTargets_ =
       1; ///< Most targets that one request may be sent to.
   std::uint32_t Priority_ = 0; ///< 0 is the highest priority.
+  bool IsPublic_ = false;      ///< Its requests need no key.
 
   /// True when requests may be executed more than once.
   bool isIdempotent() const { return Kind_ != RouteKind::AtMostOnce; }
@@ -79,6 +82,10 @@
   /// Kinds of route that this version does not know. Their requests run at most
   /// once.
   std::set<std::string> UnknownKinds_;
+  /// None where requests need no keys and are forwarded as they are.
+  std::optional<std::vector<WorkspaceSettings>> Workspaces_{};
+  /// Entries of workspaces that cannot be used, without their keys.
+  std::vector<std::string> WorkspaceProblems_{};
 
   bool operator==(const RoutingConfig &) const = default;
 };
@@ -93,12 +100,18 @@
 
   const RoutingConfig &config() const { return Config_; }
 
+  /// The workspaces and their keys; null where requests need none.
+  const WorkspaceIndex *workspaces() const {
+    return Workspaces_ ? &*Workspaces_ : nullptr;
+  }
+
   /// Returns the route of virtual host `Host` with the longest prefix of
   /// `Path`, or null if there is none.
   const VirtualRoute *find(std::string_view Host, std::string_view Path) const;
 
 private:
   RoutingConfig Config_;
+  std::optional<WorkspaceIndex> Workspaces_;
   /// Routes by host and prefix, joined by a space, which neither can contain.
   std::unordered_map<std::string, const VirtualRoute *> ByPrefix_;
 };
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 namespace kumquatpitch {
 
@@ -61,30 +60,9 @@
 
 } // namespace
 
-const char *attemptOutcomeName(AttemptOutcome Outcome) {
-  switch (Outcome) {
-  case AttemptOutcome::Success:
-    return "success";
-  case AttemptOutcome::Failure:
-    return "failure";
-  case AttemptOutcome::Refused:
-    return "refused";
-  case AttemptOutcome::OtherInstance:
-    return "other_instance";
-  case AttemptOutcome::NotConnected:
-    return "not_connected";
-  case AttemptOutcome::Broken:
-    return "broken";
-  case AttemptOutcome::TimedOut:
-    return "timed_out";
-  case AttemptOutcome::Cancelled:
-    return "cancelled";
-  }
-  return "unknown";
-}
-
 GatewayCore::GatewayCore(GatewayOptions Options, RandomSource &Random)
-    : Options_(std::move(Options)), Random_(Random) {}
+    : Options_(std::move(Options)), Admission_(Options_.Admission_),
+      Random_(Random) {}
 
 void GatewayCore::setTable(std::shared_ptr<const RouteTable> Table) {
   Table_ = std::move(Table);
@@ -116,8 +94,15 @@
   const VirtualRoute *Route = Table_->find(Head.Host_, Head.Path_);
   if (!Route)
     return makeRefusal(ResultCode::RouteUnknown, std::nullopt);
+  const std::variant<GatewayRefusal, CallerIdentity> Caller =
+      Admission_.identify(*Table_, *Route, Head.Credential_, Now);
+  if (const GatewayRefusal *Refusal = std::get_if<GatewayRefusal>(&Caller))
+    return *Refusal;
   const std::shared_ptr<GatewayRequest> Request =
       std::make_shared<GatewayRequest>();
+  Request->Caller_ = std::get<CallerIdentity>(Caller);
+  Request->Priority_ = priorityOf(*Table_, *Route, Request->Caller_);
+  Request->Weight_ = weightOf(*Table_, Request->Caller_);
   Request->Table_ = Table_;
   Request->Route_ = Route;
   Request->Service_ = Split_.choose(*Route, Random_);
@@ -128,7 +113,7 @@
   Request->DeadlineAt_ = Now + TimeLeft;
   ServiceState &State = findOrCreateService(Request->Service_);
   State.Budget_.requestArrived(Now);
-  State.Wait_.requestArrived(Route->Priority_, Now);
+  State.Wait_.requestArrived(Request->Priority_, Now);
   return Request;
 }
 
@@ -235,6 +220,7 @@
                          std::nullopt};
   State.Balancer_.attemptStarted(Pick.Target_.Id_, Now);
   State.Wait_.attemptStarted(State.Queue_.empty(), Now);
+  State.Order_.started(Request.Caller_.Workspace_, Request.Weight_);
   Request.HasResendPaid_ = false;
   Request.Tried_.insert(Pick.Target_.Id_);
   ++Request.InProgress_;
@@ -262,7 +248,7 @@
 Placement GatewayCore::tryToPlace(GatewayRequest &Request, ServiceState &State,
                                   TimePoint Now) {
   const PickConstraints Constraints = pickConstraints(Request, State, Now);
-  if (Constraints.TimeLeft_ <= DeliveryTime || !mayStillSend(Request))
+  if (Constraints.TimeLeft_ <= DeliveryTime || !mayStillSend(Request, Now))
     return refusalFor(Request, Now);
   const std::optional<TargetPick> Pick =
       State.Balancer_.pick(Constraints, Now, Random_);
@@ -280,7 +266,7 @@
 Placement GatewayCore::placeQueued(GatewayRequest &Request, ServiceState &State,
                                    std::size_t Ahead, double Rate,
                                    TimePoint Now) {
-  if (!mayStillSend(Request))
+  if (!mayStillSend(Request, Now))
     return refusalFor(Request, Now);
   if (canBeServedInTime(Request, State, Ahead, Rate, Now))
     return QueuedForTarget{};
@@ -332,33 +318,34 @@
                                     TimePoint Now) const {
   const VirtualRoute &Route = *Request.Route_;
   const Duration Latency = expectedLatency(Route);
-  const QueuePosition Position{Ahead, Route.Priority_, false};
+  const QueuePosition Position{Ahead, Request.Priority_, false};
   if (State.Wait_.expectedWait(Position, Rate, Now) <=
       objectiveAt(Request) - Latency - Now)
     return true;
-  const QueuePosition LatePosition{Ahead, Route.Priority_, true};
+  const QueuePosition LatePosition{Ahead, Request.Priority_, true};
   const Duration ShortLatency(static_cast<Duration::rep>(
       static_cast<double>(Latency.count()) / DeadlineSlackFactor));
   return State.Wait_.expectedWait(LatePosition, Rate, Now) <=
          Request.DeadlineAt_ - ShortLatency - Now;
 }
 
-/// Sorts the queue. Requests that can still meet their route's latency
-/// objective come first, ordered by priority and then by the time at which the
-/// objective is missed. The others follow by priority and then by deadline.
 void GatewayCore::sortQueue(ServiceState &State, TimePoint Now) const {
-  const auto Key = [&](const std::shared_ptr<GatewayRequest> &Request) {
-    const VirtualRoute &Route = *Request->Route_;
+  std::vector<QueuedRequest> Order;
+  Order.reserve(State.Queue_.size());
+  for (const std::shared_ptr<GatewayRequest> &Request : State.Queue_) {
     const TimePoint ObjectiveAt = objectiveAt(*Request);
-    const bool IsLate = Now + meanLatency(Route) > ObjectiveAt;
-    return std::make_tuple(IsLate, Route.Priority_,
-                           IsLate ? Request->DeadlineAt_ : ObjectiveAt);
-  };
-  std::stable_sort(State.Queue_.begin(), State.Queue_.end(),
-                   [&](const std::shared_ptr<GatewayRequest> &Left,
-                       const std::shared_ptr<GatewayRequest> &Right) {
-                     return Key(Left) < Key(Right);
-                   });
+    const bool IsLate = Now + meanLatency(*Request->Route_) > ObjectiveAt;
+    Order.push_back(QueuedRequest{Order.size(), IsLate, Request->Priority_,
+                                  IsLate ? Request->DeadlineAt_ : ObjectiveAt,
+                                  Request->Caller_.Workspace_,
+                                  Request->Weight_});
+  }
+  State.Order_.sort(Order);
+  std::vector<std::shared_ptr<GatewayRequest>> Sorted;
+  Sorted.reserve(Order.size());
+  for (const QueuedRequest &Entry : Order)
+    Sorted.push_back(State.Queue_[Entry.Index_]);
+  State.Queue_ = std::move(Sorted);
 }
 
 /// Sends an idempotent request to an ejected target rather than refusing it: a
@@ -431,7 +418,8 @@
   ServiceState &State = findOrCreateService(Request.Service_);
   if (Request.IsHedged_ || !Request.Route_->isIdempotent() ||
       Request.Sent_ + Request.InProgress_ >= Request.Route_->MaxTargets_ ||
-      Request.DeadlineAt_ - Now < MinResendTime || !mayStillSend(Request) ||
+      Request.DeadlineAt_ - Now < MinResendTime ||
+      !mayStillSend(Request, Now) ||
       State.Budget_.available(resendLimits(Request.Service_), Now) <
           HedgeReserve)
     return std::nullopt;
@@ -491,7 +479,7 @@
   if (Request.InProgress_ > 0)
     return GatewayDecision{GatewayStep::Wait, {}, std::nullopt};
   const bool HasTime =
-      Request.DeadlineAt_ - Now >= MinResendTime && mayStillSend(Request);
+      Request.DeadlineAt_ - Now >= MinResendTime && mayStillSend(Request, Now);
   const bool MayRepeat = Request.Route_->isIdempotent() || !Request.MayHaveRun_;
   if (HasTime && MayRepeat && Outcome != AttemptOutcome::TimedOut) {
     if (Outcome == AttemptOutcome::NotConnected &&
@@ -518,7 +506,7 @@
                                        TimePoint Now) const {
   const UnservedRequest Unserved{Request.MayHaveRun_ || Request.InProgress_ > 0,
                                  Request.DeadlineAt_ - Now <= DeliveryTime,
-                                 !mayStillSend(Request)};
+                                 !endsBeforeStop(Request)};
   const std::map<ServiceName, ServiceState>::const_iterator It =
       Services_.find(Request.Service_);
   if (It == Services_.end())
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -23,21 +23,6 @@
 constexpr Duration SettingsCheckPeriod = std::chrono::seconds(1);
 /// Limit for each of the readiness, directory and metrics ports.
 constexpr std::size_t MaxAuxiliaryConnections = 200;
-/// How often hosts that serve the same service exchange their counts of failed
-/// requests. It is a fraction of the 2 s over which the floor (the share of
-/// targets to keep in use) is evaluated.
-constexpr Duration OutcomeCountPeriod = std::chrono::milliseconds(250);
-/// The counts of a service go to at most this many other hosts. In a larger
-/// group a random sample is sufficient, and the number of messages that a host
-/// sends does not grow with the fleet.
-constexpr std::size_t MaxOutcomeCountRecipients = 8;
-/// How often changes of targets' rate limits are sent. The users' rule begins
-/// to count a host's requests half a second after an answer named the limit to
-/// it.
-constexpr Duration RateLimitUpdatePeriod = std::chrono::milliseconds(200);
-/// Repeated failures of a target are sent to the other hosts at most once in
-/// this time.
-constexpr Duration EvidenceInterval = std::chrono::milliseconds(300);
 /// Longest wait of a watch for changes. It rarely runs out, because some change
 /// is published almost all the time.
 constexpr Duration WatchTimeout = std::chrono::milliseconds(200);
@@ -67,9 +52,13 @@
 }
 
 GatewayOptions gatewayTerms(const GatewaySettings &Settings) {
-  return GatewayOptions{Settings.Id_,          Settings.Domain_,
-                        Settings.FloorShare_,  Settings.ResendRatio_,
-                        Settings.ResendSlack_, Settings.ResendWindow_};
+  return GatewayOptions{Settings.Id_,
+                        Settings.Domain_,
+                        Settings.FloorShare_,
+                        Settings.ResendRatio_,
+                        Settings.ResendSlack_,
+                        Settings.ResendWindow_,
+                        AdmissionOptions{Settings.KeyRevocationTime_}};
 }
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &Endpoints) {
@@ -158,7 +147,7 @@
       Membership_(makeSelf(Settings_), Random_), Follower_(Settings_.Id_),
       Core_(gatewayTerms(Settings_), Random_),
       Front_(GatewayDependencies{
-          Context_, Timers_, Core_, TargetClient_, Log_, Metrics_, *this,
+          Context_, Timers_, Core_, TargetClient_, Log_, Metrics_, Reports_,
           Settings_.UnframedServices_, Platform.headers(),
           MemoryShares(Settings_.MemoryBytes_).oneAnswer()}),
       DirectoryHandler_(std::make_unique<DirectoryHandler>(*this)),
@@ -168,6 +157,8 @@
       DirectoryServer_(Context_, *DirectoryHandler_),
       MetricsServer_(Context_, *MetricsHandler_), Datagrams_(Context_),
       Peers_(Datagrams_, Settings_.PeerPort_, Membership_, Random_, Metrics_),
+      Reports_(PeerReportsDependencies{Settings_.Id_, Core_, Peers_, Timers_,
+                                       Log_, Random_}),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
   const MemoryShares Shares(Settings_.MemoryBytes_);
   TargetClient_.setMaxBufferedBytes(Shares.answers());
@@ -214,10 +205,6 @@
   receiveDatagram();
   awaitSignal();
   Timers_.subscribe(TickPeriod, [this](TimePoint) { tick(); });
-  Timers_.subscribe(OutcomeCountPeriod,
-                    [this](TimePoint Now) { sendOutcomeCounts(Now); });
-  Timers_.subscribe(RateLimitUpdatePeriod,
-                    [this](TimePoint Now) { sendRateLimitUpdates(Now); });
   Timers_.subscribe(SettingsCheckPeriod,
                     [this](TimePoint) { checkSettings(false); });
   tick();
@@ -288,34 +275,8 @@
   else if (const StoreChangesMessage *Changes =
                std::get_if<StoreChangesMessage>(&*Datagram))
     apply(Follower_.receive(*Changes, Now));
-  else if (const EvidenceMessage *Evidence =
-               std::get_if<EvidenceMessage>(&*Datagram)) {
-    const std::map<TargetId, TargetEntry> &Targets =
-        Follower_.directory().entries();
-    const std::map<TargetId, TargetEntry>::const_iterator It =
-        Targets.find(Evidence->Target_);
-    if (It != Targets.end() &&
-        It->second.StartedUnixMs_ == Evidence->StartedUnixMs_)
-      Core_.applyPeerObservation(Evidence->Service_, Evidence->Target_,
-                                 Evidence->Observation_, Now);
-    Peers_.forward(*Evidence);
-  } else if (const OutcomeCountsMessage *Counts =
-                 std::get_if<OutcomeCountsMessage>(&*Datagram)) {
-    for (const std::pair<const ServiceName, RequestOutcomeCounts> &Entry :
-         Counts->Services_)
-      Core_.recordPeerOutcomes(Counts->From_, Entry.first, Entry.second, Now);
-  } else if (const RateLimitsMessage *Limits =
-                 std::get_if<RateLimitsMessage>(&*Datagram)) {
-    for (const NamedRateLimit &Limit : Limits->Limits_)
-      if (Core_.recordPeerRateLimit(Limit, Now))
-        Log_.write(LogLevel::Info, "target", "limit_received",
-                   {{"service", Limit.Service_.str()},
-                    {"target", Limit.Target_.str()},
-                    {"limit", formatRateLimit(Limit.PerSecond_)},
-                    {"age_ms", std::to_string(toMilliseconds(Limit.Age_))},
-                    {"sender", SenderAddress}});
-    Peers_.forward(*Limits);
-  }
+  else
+    Reports_.receive(*Datagram, SenderAddress, Follower_.directory().entries());
 }
 
 void GatewayDaemon::send(const std::vector<OutgoingProbe> &Probes) {
@@ -337,10 +298,7 @@
                {{"alive", std::to_string(Alive)},
                 {"known", std::to_string(Members.size())}});
   }
-  std::erase_if(LastEvidenceAt_,
-                [&](const std::pair<const TargetId, TimePoint> &Entry) {
-                  return Now - Entry.second > EvidenceInterval;
-                });
+  Reports_.tick(Now);
   if (Follower_.expire(Now))
     Core_.setTargets(Follower_.directory().entries(), Now);
   if (const std::optional<ReadRequest> Next = Follower_.due(
@@ -390,7 +348,7 @@
          {"revision", std::to_string(Follower_.configRevision())},
          {"routes",
           std::to_string(Result.NewTable_->config().Routes_.size())}});
-    logUnknownKinds(Result.NewTable_->config());
+    logConfigProblems(*Result.NewTable_);
   }
   if (Result.TargetsChanged_) {
     Core_.setTargets(Follower_.directory().entries(), Now);
@@ -405,8 +363,19 @@
   updateState();
 }
 
-/// One line for each configuration that has routes of an unknown kind.
-void GatewayDaemon::logUnknownKinds(const RoutingConfig &Config) {
+/// One line for each configuration that has routes of an unknown kind, and one
+/// for each problem of its workspaces.
+void GatewayDaemon::logConfigProblems(const RouteTable &Table) {
+  const RoutingConfig &Config = Table.config();
+  std::vector<std::string> Problems = Config.WorkspaceProblems_;
+  if (Table.workspaces())
+    std::ranges::copy(Table.workspaces()->problems(),
+                      std::back_inserter(Problems));
+  Problems.resize(std::min(Problems.size(), WorkspaceIndex::MaxProblems));
+  for (const std::string &Problem : Problems)
+    Log_.write(
+        LogLevel::Warning, "config", "workspace_problem",
+        {{"version", std::to_string(Config.Version_)}, {"detail", Problem}});
   if (Config.UnknownKinds_.empty())
     return;
   std::string Kinds;
@@ -423,19 +392,6 @@
     Peers_.sendToOwnDomain(Part);
 }
 
-void GatewayDaemon::broadcastEvidence(const TargetEntry &Target,
-                                      TargetObservation Observation) {
-  const TimePoint Now = Timers_.now();
-  TimePoint &LastSent = LastEvidenceAt_[Target.Id_];
-  if (Observation == TargetObservation::Failed &&
-      Now - LastSent < EvidenceInterval)
-    return;
-  if (Observation == TargetObservation::Failed)
-    LastSent = Now;
-  Peers_.sendToAll(EvidenceMessage{Target.Service_, Target.Id_,
-                                   Target.StartedUnixMs_, Observation, true});
-}
-
 void GatewayDaemon::updateCallerHosts() {
   if (!Core_.hasTable())
     return;
@@ -460,44 +416,18 @@
                                             RouteHosts.end());
   }
   std::map<ServiceName, std::vector<AssignedHost>> CallerHosts;
-  CallerHostAddresses_.clear();
+  std::map<ServiceName, std::vector<std::string>> Addresses;
   for (const std::pair<const ServiceName, std::map<HostId, Member>> &Service :
        HostsByService)
     for (const std::pair<const HostId, Member> &Host : Service.second) {
       CallerHosts[Service.first].push_back({Host.first, Host.second.Domain_});
       if (Host.first != Settings_.Id_)
-        CallerHostAddresses_[Service.first].push_back(Host.second.Address_);
+        Addresses[Service.first].push_back(Host.second.Address_);
     }
+  Reports_.setCallerHosts(std::move(Addresses));
   Core_.setCallerHosts(CallerHosts, Alive, Timers_.now());
 }
 
-void GatewayDaemon::sendOutcomeCounts(TimePoint Now) {
-  std::map<std::string, OutcomeCountsMessage> Messages;
-  for (const std::pair<const ServiceName, RequestOutcomeCounts> &Counts :
-       Core_.outcomeCounts(Now)) {
-    std::vector<std::string> Candidates = CallerHostAddresses_[Counts.first];
-    for (std::size_t Chosen = 0;
-         Chosen < MaxOutcomeCountRecipients && !Candidates.empty(); ++Chosen) {
-      std::swap(Candidates[Random_.below(Candidates.size())],
-                Candidates.back());
-      OutcomeCountsMessage &Message = Messages[Candidates.back()];
-      Message.From_ = Settings_.Id_;
-      if (Message.Services_.size() < MaxOutcomeCounts)
-        Message.Services_.insert(Counts);
-      Candidates.pop_back();
-    }
-  }
-  for (const std::pair<const std::string, OutcomeCountsMessage> &Entry :
-       Messages)
-    Peers_.send(Entry.first, Entry.second);
-}
-
-void GatewayDaemon::sendRateLimitUpdates(TimePoint Now) {
-  for (const RateLimitsMessage &Part :
-       splitRateLimits(Core_.takeRateLimitUpdates(Now)))
-    Peers_.sendToAll(Part);
-}
-
 /// After its start, a host that may still lack target entries does not serve
 /// while at least half of the known hosts do.
 bool GatewayDaemon::canServe() const {
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -100,6 +100,7 @@
     if (const std::string *Host = Message.header("Host"))
       Head.Host_ = withoutPort(*Host);
     Head.Path_ = Message.Target_.substr(0, Message.Target_.find('?'));
+    Head.Credential_ = credentialOf(Message.Headers_);
     if (const std::string *TimeLeft =
             Message.header(Dependencies_.Headers_.DeadlineMs_))
       if (const std::optional<std::int64_t> Ms =
@@ -168,11 +169,11 @@
     Forwarded.Target_ = Request.Target_;
     Forwarded.Headers_ = Request.Headers_;
     std::erase_if(Forwarded.Headers_, [this](const HeaderField &Header) {
-      return headerNamesEqual(Header.first,
-                              Dependencies_.Headers_.DeadlineMs_) ||
-             headerNamesEqual(Header.first,
-                              Dependencies_.Headers_.ExpectedTarget_);
+      return !isForwarded(Header.first);
     });
+    if (!Request_->Caller_.Workspace_.empty())
+      Forwarded.Headers_.emplace_back(Dependencies_.Headers_.Workspace_,
+                                      Request_->Caller_.Workspace_.str());
     Forwarded.Headers_.emplace_back(Dependencies_.Headers_.DeadlineMs_,
                                     std::to_string(toMilliseconds(TimeLeft)));
     Forwarded.Headers_.emplace_back(Dependencies_.Headers_.ExpectedTarget_,
@@ -182,6 +183,18 @@
         std::shared_ptr<const std::string>(Exchange_, &Request.Body_)};
   }
 
+  /// False for headers that the host sets itself, and where callers name their
+  /// workspace by a key, for that key.
+  bool isForwarded(const std::string &Name) const {
+    const GatewayHeaders &Names = Dependencies_.Headers_;
+    if (headerNamesEqual(Name, Names.DeadlineMs_) ||
+        headerNamesEqual(Name, Names.ExpectedTarget_))
+      return false;
+    return !Request_->Table_->workspaces() ||
+           !(headerNamesEqual(Name, "Authorization") ||
+             headerNamesEqual(Name, Names.Workspace_));
+  }
+
   void armHedge(const GatewayAttempt &Attempt) {
     if (!Attempt.HedgeAt_)
       return;
@@ -409,6 +422,9 @@
         {{"id", Id_},
          {"host", Head.Host_},
          {"route", Request_ ? Request_->Route_->Prefix_ : "none"},
+         {"workspace", Request_ && Request_->Caller_.Key_
+                           ? Request_->Caller_.Workspace_.str()
+                           : "none"},
          {"status", std::to_string(Status)},
          {"code", resultCodeName(Code)},
          {"sent", std::to_string(Request_ ? Request_->Sent_ : 0)},
--- a/src/gateway-settings.cc
+++ b/src/gateway-settings.cc
@@ -13,6 +13,7 @@
 constexpr double MaxSeconds = 3'600;
 constexpr double MaxSlack = 1e6;
 constexpr double MaxCores = 1'024;
+constexpr double MaxLinkMbps = 1e6;
 
 constexpr std::int64_t MaxMemoryMb = 1 << 20;
 
@@ -62,6 +63,13 @@
     Reader.reject(SettingsEntry{"answers", "without_length", ""},
                   "must be a comma-separated list of services, or *");
   Settings.UnframedServices_ = Unframed.value_or(UnframedServices());
+  Settings.KeyRevocationTime_ = fromSeconds(
+      Reader.decimal("terms", "key_revocation_s", 0, MaxSeconds, 0));
+  Settings.LimitWindow_ =
+      fromSeconds(Reader.decimal("terms", "limit_window_s", 0, MaxSeconds, 0));
+  Settings.LimitOverage_ = Reader.decimal("terms", "limit_overage", 0, 1, 0);
+  Settings.LimitSlack_ = Reader.decimal("terms", "limit_slack", 0, MaxSlack, 0);
+  Settings.LinkMbps_ = Reader.decimal("host", "link_mbps", 0, MaxLinkMbps, 0);
   Settings.LogLevel_ = Reader.level("log", "level");
   return Settings;
 }
--- a/src/queue-wait.cc
+++ b/src/queue-wait.cc
@@ -26,7 +26,7 @@
   At_ = Now;
 }
 
-void QueueWait::requestArrived(std::uint32_t Priority, TimePoint Now) {
+void QueueWait::requestArrived(const RequestPriority &Priority, TimePoint Now) {
   ArrivalsByPriority_[Priority].add(1, Now);
 }
 
@@ -65,7 +65,7 @@
 double QueueWait::arrivalRateAhead(const QueuePosition &Position,
                                    TimePoint Now) const {
   double Sum = 0;
-  for (const std::pair<const std::uint32_t, DecayingSum> &Entry :
+  for (const std::pair<const RequestPriority, DecayingSum> &Entry :
        ArrivalsByPriority_)
     if (Position.IsBehindAll_ || Entry.first < Position.Priority_)
       Sum += Entry.second.at(Now);
--- a/src/result-code.cc
+++ b/src/result-code.cc
@@ -38,6 +38,8 @@
     {ResultCode::RequestIncomplete, "request_incomplete", 408},
     {ResultCode::CallerGone, "caller_gone", 499},
     {ResultCode::RequestAlreadyRan, "request_already_ran", 409},
+    {ResultCode::KeyUnknown, "key_unknown", 401},
+    {ResultCode::KeyUnproven, "key_unproven", 503},
     {ResultCode::BackendUnreachable, "backend_unreachable", 502},
     {ResultCode::BackendRefused, "backend_refused", 503},
     {ResultCode::BackendTimeout, "backend_timeout", 504},
--- a/src/routing-config.cc
+++ b/src/routing-config.cc
@@ -12,6 +12,8 @@
 }
 
 RouteTable::RouteTable(RoutingConfig Config) : Config_(std::move(Config)) {
+  if (Config_.Workspaces_)
+    Workspaces_.emplace(*Config_.Workspaces_);
   for (const VirtualRoute &Route : Config_.Routes_)
     ByPrefix_.emplace(routeKey(Route.Host_, Route.Prefix_), &Route);
 }
--- a/test/gateway-settings-test.cc
+++ b/test/gateway-settings-test.cc
@@ -18,8 +18,23 @@
   return Text;
 }
 
-/// The settings template with its placeholders replaced by example values.
-static std::string filledTemplate() {
+/// Keeps the text of a section of the template, or removes it.
+static std::string fillSection(std::string Text, const std::string &Name,
+                               bool IsKept) {
+  const std::string Begin = "{{#" + Name + "}}";
+  const std::string End = "{{/" + Name + "}}";
+  const std::size_t From = Text.find(Begin);
+  const std::size_t To = Text.find(End);
+  if (From == std::string::npos || To == std::string::npos)
+    return Text;
+  const std::string Inner =
+      Text.substr(From + Begin.size(), To - From - Begin.size());
+  return Text.replace(From, To + End.size() - From, IsKept ? Inner : "");
+}
+
+/// The settings template with its placeholders replaced by example values. The
+/// terms on keys and limits stand only in some deployments.
+static std::string filledTemplate(bool HasTerms = true) {
   const std::string File =
       std::string(KUMQUATPITCH_SOURCE_DIR) + "/deploy/gateway.ini";
   std::string Text = handleFailure(
@@ -44,12 +59,28 @@
       {"{{Bounds.RetrySlack}}", "64"},
       {"{{Bounds.RetryWindowS}}", "10"},
       {"{{Bounds.ttl_max_s}}", "5"},
-      {"{{Bounds.GraceS}}", "6"}};
+      {"{{Bounds.GraceS}}", "6"},
+      {"{{Limits.LinkMbps}}", "200"},
+      {"{{Bounds.RevokeS}}", "5"},
+      {"{{Bounds.QuotaWindowS}}", "5"},
+      {"{{Bounds.QuotaOverage}}", "0.25"},
+      {"{{Bounds.QuotaSlack}}", "20"}};
+  for (const char *Section :
+       {"Limits.LinkMbps", "Bounds.StrictRevoke", "Bounds.QuotaWindowS"})
+    Text = fillSection(Text, Section, HasTerms);
   for (const std::pair<const char *, const char *> &Entry : Values)
     Text = replaceAll(Text, Entry.first, Entry.second);
   return Text;
 }
 
+static GatewaySettings parsed(const std::string &Text) {
+  return handleFailure(
+      [&]() -> Result<GatewaySettings> {
+        return parseGatewaySettings(Text, "a.ini");
+      },
+      [](const Failure &) { return GatewaySettings(); });
+}
+
 static std::string parseError(const std::string &Text) {
   return handleFailure(
       [&]() -> Result<std::string> {
@@ -112,3 +143,18 @@
             .find("section [answers], key without_length") !=
         std::string::npos);
 }
+
+// Deployments without terms on keys and limits are served as before.
+TEST(GatewaySettings, TermsOnKeysAndLimitsAreOptional) {
+  CHECK_EQUAL(std::string("none"), parseError(filledTemplate(false)));
+  const GatewaySettings Without = parsed(filledTemplate(false));
+  CHECK(Without.KeyRevocationTime_ == Duration::zero());
+  CHECK(Without.LimitWindow_ == Duration::zero());
+  DOUBLES_EQUAL(0, Without.LinkMbps_, 1e-9);
+  const GatewaySettings With = parsed(filledTemplate());
+  CHECK(With.KeyRevocationTime_ == std::chrono::seconds(5));
+  CHECK(With.LimitWindow_ == std::chrono::seconds(5));
+  DOUBLES_EQUAL(0.25, With.LimitOverage_, 1e-9);
+  DOUBLES_EQUAL(20, With.LimitSlack_, 1e-9);
+  DOUBLES_EQUAL(200, With.LinkMbps_, 1e-9);
+}
--- a/test/queue-wait-test.cc
+++ b/test/queue-wait-test.cc
@@ -19,7 +19,7 @@
     Wait_.setQueueEmpty(false, atMs(StartMs));
     for (std::int64_t TimeMs = StartMs; TimeMs < StartMs + 10'000;
          TimeMs += IntervalMs) {
-      Wait_.requestArrived(Priority, atMs(TimeMs));
+      Wait_.requestArrived(RequestPriority{0, Priority}, atMs(TimeMs));
       Wait_.attemptStarted(false, atMs(TimeMs));
     }
   }
@@ -27,8 +27,8 @@
 
 // Guards against refusing the first request that has to wait.
 TEST(QueueWait, ExpectedRateIsUsedBeforeAnythingIsKnown) {
-  CHECK(Wait_.expectedWait({0, 0, false}, 10, atMs(0)) == ms(100));
-  CHECK(Wait_.expectedWait({4, 0, false}, 10, atMs(0)) == ms(500));
+  CHECK(Wait_.expectedWait({0, {0, 0}, false}, 10, atMs(0)) == ms(100));
+  CHECK(Wait_.expectedWait({4, {0, 0}, false}, 10, atMs(0)) == ms(500));
 }
 
 // Guards against waits that follow the slots of a service that other hosts use.
@@ -45,16 +45,16 @@
 TEST(QueueWait, UrgentArrivalsDelayLessUrgentRequests) {
   runBusy(0, 50, 1);
   const TimePoint Now = atMs(10'000);
-  CHECK(Wait_.expectedWait({2, 1, false}, 20, Now) < ms(200));
-  CHECK(Wait_.expectedWait({2, 2, false}, 20, Now) > ms(10'000));
-  CHECK(Wait_.expectedWait({2, 1, true}, 20, Now) > ms(10'000));
+  CHECK(Wait_.expectedWait({2, {0, 1}, false}, 20, Now) < ms(200));
+  CHECK(Wait_.expectedWait({2, {0, 2}, false}, 20, Now) > ms(10'000));
+  CHECK(Wait_.expectedWait({2, {0, 1}, true}, 20, Now) > ms(10'000));
 }
 
 // Guards against refusing requests long after a load has ended.
 TEST(QueueWait, OldArrivalsAreForgotten) {
   runBusy(0, 50, 1);
   Wait_.setQueueEmpty(true, atMs(10'000));
-  CHECK(Wait_.expectedWait({0, 2, false}, 20, atMs(20'000)) < ms(60));
+  CHECK(Wait_.expectedWait({0, {0, 2}, false}, 20, atMs(20'000)) < ms(60));
 }
 
 // A host with more than its part of the callers takes more than its part of the
--- a/test/store-decoder-test.cc
+++ b/test/store-decoder-test.cc
@@ -55,6 +55,49 @@
   CHECK(decode(replaced(TargetText, "ready", "draining"))->Leaving_);
 }
 
+TEST(StoreDecoder, WorkspacesAreDecodedWithoutTheirKeys) {
+  const std::string Text = replaced(
+      replaced(ConfigText, R"("Priority":2)", R"("Priority":2,"Public":true)"),
+      R"("Clusters")",
+      R"("Tenants":[{"Name":"red","ApiKeys":["k-1","k-2"],"Priority":3,)"
+      R"("RatePerS":22.5,"Burst":4},{"Name":"blue","RatePerS":null}],)"
+      R"("Clusters")");
+  const std::shared_ptr<const RouteTable> Table = decodeConfig(Text, Problem_);
+  CHECK(Table != nullptr);
+  CHECK(Table->config().Routes_.front().IsPublic_);
+  const WorkspaceSettings *Red = Table->workspaces()->find(digestOf("k-2"));
+  CHECK(Red != nullptr);
+  CHECK(Red->Name_ == WorkspaceName("red"));
+  CHECK_EQUAL(3U, Red->Priority_);
+  DOUBLES_EQUAL(22.5, Red->RatePerSecond_, 1e-9);
+  DOUBLES_EQUAL(4, Red->Burst_, 1e-9);
+  CHECK_FALSE(Table->workspaces()->find(WorkspaceName("blue"))->hasLimit());
+  CHECK(decodeConfig(ConfigText, Problem_)->workspaces() == nullptr);
+}
+
+// Guards against one odd workspace that costs all others their keys, and
+// against its key in a log line.
+TEST(StoreDecoder, OddWorkspacesAreLeftOutAndReported) {
+  for (const char *Odd :
+       {R"({"Name":7,"ApiKeys":["secret"]})", R"({"ApiKeys":["secret"]})",
+        R"({"Name":"red","ApiKeys":["secret",""]})",
+        R"({"Name":"red","ApiKeys":["secret",7]})", R"("secret")",
+        R"({"Name":"red","ApiKeys":["secret"],"RatePerS":-1})",
+        R"({"Name":"red","ApiKeys":{"a":"secret","b":[]}})"}) {
+    const std::string Text =
+        replaced(ConfigText, R"("Clusters")",
+                 std::string(R"("Tenants":[)") + Odd +
+                     R"(,{"Name":"blue","ApiKeys":["k-1"]}],"Clusters")");
+    const std::shared_ptr<const RouteTable> Table =
+        decodeConfig(Text, Problem_);
+    CHECK(Table != nullptr);
+    CHECK(Table->workspaces()->find(digestOf("k-1")) != nullptr);
+    CHECK_EQUAL(1U, Table->config().WorkspaceProblems_.size());
+    CHECK(Table->config().WorkspaceProblems_.front().find("secret") ==
+          std::string::npos);
+  }
+}
+
 // Guards against requests being sent to an address that an entry of another
 // writer names.
 TEST(StoreDecoder, UnusableEntriesYieldNoTarget) {
