FairLoad: the targets of the model run as many requests as they have slots

Cause: the model served any number of requests at once, so its load was never short of room and the tests passed without the fair order. Change: a target runs as many requests as it has slots and queues the others.

--- a/test/fair-load-test.cc
+++ b/test/fair-load-test.cc
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <queue>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -129,7 +130,8 @@
   void apply(const std::shared_ptr<GatewayRequest> &Request,
              const Placement &Decision) {
     if (const GatewayAttempt *Attempt = std::get_if<GatewayAttempt>(&Decision))
-      return Events_.push(Event{NowMs_ + ServiceTimeMs, 0, Request, *Attempt});
+      return Events_.push(
+          Event{endOf(Attempt->Target_.Id_), 0, Request, *Attempt});
     if (!std::holds_alternative<GatewayRefusal>(Decision))
       return;
     Core_.requestEnded(*Request, false, atMs(NowMs_));
@@ -139,6 +141,19 @@
       ask(0, Repeats - 1);
   }
 
+  /// When the target ends a request that it gets now: it runs as many at once
+  /// as it has slots, and queues the others.
+  std::int64_t endOf(const TargetId &Target) {
+    std::multiset<std::int64_t> &FreeAt = SlotsFreeAt_[Target];
+    if (FreeAt.empty())
+      for (std::uint32_t Slot = 0; Slot < SlotsPerTarget; ++Slot)
+        FreeAt.insert(0);
+    const std::int64_t StartMs = std::max(NowMs_, *FreeAt.begin());
+    FreeAt.erase(FreeAt.begin());
+    FreeAt.insert(StartMs + ServiceTimeMs);
+    return StartMs + ServiceTimeMs;
+  }
+
   void finish(const Event &Ended) {
     Core_.attemptEnded(*Ended.Request_, Ended.Attempt_, AttemptOutcome::Success,
                        TargetReport(), atMs(NowMs_));
@@ -155,6 +170,7 @@
                     Random_};
   std::priority_queue<Event> Events_;
   std::map<const GatewayRequest *, int> RepeatsLeft_;
+  std::map<TargetId, std::multiset<std::int64_t>> SlotsFreeAt_;
   std::map<int, double> Asked_;
   std::map<int, double> Served_;
   std::int64_t NowMs_ = 0;
@@ -185,6 +201,6 @@
 }
 
 TEST(FairLoad, CallersThatRepeatAtOnceCostTheOthersLittle) {
-  const std::vector<double> Shares = FairLoadModel(Surge{4, 3}).play();
+  const std::vector<double> Shares = FairLoadModel(Surge{7, 3}).play();
   CHECK(othersServed(Shares) >= Usual_ - MaxLossOfOthers);
 }
