ConfigProof: own reads prove how recent the configuration is

With key_revocation_s set, AdmissionControl accepts keys only while the configuration is proven recent, and nothing proved it: every request with a key got 503.

A complete read of the store's newest state now proves the moment at which it was sent. Stale copies, configurations that cannot be decoded, changes that start behind a configuration which only a peer has read, and copies that a restored store serves before the operator has written again prove nothing. A host whose proof is older than half of the revocation time reads the changes for itself; such a read is not forwarded and leaves the revision up to which the host is complete, since its next message would otherwise show a gap to the other hosts of its domain.

The log lines of a configuration that comes into force move out of GatewayDaemon to make room.

--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -6,6 +6,7 @@
 #define KUMQUATPITCH_GATEWAY_DAEMON_H
 
 #include "kumquatpitch/asio-timer-service.h"
+#include "kumquatpitch/config-proof-updater.h"
 #include "kumquatpitch/gateway-platform.h"
 #include "kumquatpitch/gateway-settings.h"
 #include "kumquatpitch/host-membership.h"
@@ -43,11 +44,9 @@
   void handlerFailed(const char *Text);
   void send(const std::vector<OutgoingProbe> &Probes);
   void tick();
-  void startRead(const ReadRequest &Order);
+  void startRead(const ReadRequest &Order, TimePoint Now);
   void onReadEnded(const ReadRequest &Order, const PublishedRead &Read);
   void apply(const FollowResult &Result);
-  void logConfigProblems(const RouteTable &Table);
-  void sendChangesToOwnDomain(const StoreChangesMessage &Message);
   void updateCallerHosts();
   void updateState();
   /// Reads the settings file again and applies its seeds; all other settings
@@ -85,6 +84,7 @@
   asio::ip::udp::socket Datagrams_;
   PeerChannel Peers_;
   PeerReports Reports_;
+  ConfigProofUpdater ConfigProof_;
   asio::ip::udp::endpoint Sender_;
   std::array<char, 2'048> DatagramBuffer_;
   asio::signal_set Signals_;
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -7,6 +7,7 @@
 #ifndef KUMQUATPITCH_STORE_FOLLOWER_H
 #define KUMQUATPITCH_STORE_FOLLOWER_H
 
+#include "kumquatpitch/admission/config-proof.h"
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/published-state.h"
 #include "kumquatpitch/target-directory.h"
@@ -34,6 +35,9 @@
   enum class Kind : std::uint8_t { All, Changes, Config } Kind_ = Kind::All;
   std::uint64_t After_ = 0;
   bool AllowStale_ = false; ///< A cheaper, stale copy of the config will do.
+  /// The read only shows that the configuration is recent: its result is not
+  /// forwarded, and it does not count as a reader's turn.
+  bool IsForProof_ = false;
 
   bool operator==(const ReadRequest &) const = default;
 };
@@ -52,6 +56,9 @@
   bool TargetsChanged_ = false;
   std::shared_ptr<const RouteTable> NewTable_;   ///< Null when unchanged.
   std::optional<StoreChangesMessage> ToForward_; ///< To the own failure domain.
+  /// Set by a read that showed the newest configuration of the store, if this
+  /// host could decode that one.
+  std::optional<ConfigReading> Reading_;
 };
 
 class StoreFollower {
@@ -74,8 +81,10 @@
 
   /// Returns the next read and marks it as in progress, if one is due and none
   /// is in progress yet. `Rank` is the host's rank in the order of its failure
-  /// domain's readers.
-  std::optional<ReadRequest> due(std::uint32_t Rank, TimePoint Now);
+  /// domain's readers. With `NeedsProof`, a read for that is due when no other
+  /// is.
+  std::optional<ReadRequest> due(std::uint32_t Rank, TimePoint Now,
+                                 bool NeedsProof = false);
 
   /// Applies the result of the read that due() returned.
   FollowResult readEnded(const PublishedRead &Read, TimePoint Now);
@@ -119,6 +128,7 @@
   void applyAll(const PublishedRead &Read, TimePoint Now, FollowResult &Result);
   void applyConfig(const PublishedConfig &Config, FollowResult &Result);
   void recordFailure(const PublishedRead &Read, TimePoint Now);
+  std::optional<ConfigReading> configReading(const ReadRequest &Request) const;
 
   HostId Self_;
   TargetDirectory Directory_;
@@ -127,11 +137,15 @@
   std::uint64_t Era_ = 0;      ///< Of all revisions below.
   std::uint64_t Revision_ = 0; ///< Complete up to here; 0 before a listing.
   std::uint64_t ConfigRevision_ = 0;
+  /// Version of the configuration at ConfigRevision_. None when that one could
+  /// not be decoded.
+  std::optional<std::uint64_t> StoreVersion_;
   std::uint64_t PeerConfigRevision_ = 0; ///< Newest reported by a peer.
   /// Value of PeerConfigRevision_ for which a stale copy was last read.
   std::uint64_t StaleCopyReadFor_ = 0;
   std::optional<ReadRequest> InProgress_;
   std::uint64_t InProgressEra_ = 0; ///< Era_ when the read began.
+  TimePoint InProgressSince_;
   bool NeedsListing_ = true;
   bool AnnouncesEra_ = false; ///< The next listing is the first of its era.
   bool HasGap_ = false;       ///< Changes before a peer's message were missed.
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -3,6 +3,7 @@
 #include "kumquatpitch/gateway-daemon.h"
 
 #include "kumquatpitch/caller-hosts.h"
+#include "kumquatpitch/config-log.h"
 #include "kumquatpitch/memory-shares.h"
 #include "kumquatpitch/metrics-format.h"
 #include "kumquatpitch/release.h"
@@ -159,6 +160,8 @@
       Peers_(Datagrams_, Settings_.PeerPort_, Membership_, Random_, Metrics_),
       Reports_(PeerReportsDependencies{Settings_.Id_, Core_, Peers_, Timers_,
                                        Log_, Random_}),
+      ConfigProof_(ConfigProofDependencies{Settings_.KeyRevocationTime_,
+                                           Core_.admission(), Log_, Metrics_}),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
   const MemoryShares Shares(Settings_.MemoryBytes_);
   TargetClient_.setMaxBufferedBytes(Shares.answers());
@@ -301,15 +304,19 @@
   Reports_.tick(Now);
   if (Follower_.expire(Now))
     Core_.setTargets(Follower_.directory().entries(), Now);
-  if (const std::optional<ReadRequest> Next = Follower_.due(
-          readerRank(Membership_.self(), Membership_.members()), Now))
-    startRead(*Next);
+  ConfigProof_.tick(Now);
+  if (const std::optional<ReadRequest> Next =
+          Follower_.due(readerRank(Membership_.self(), Membership_.members()),
+                        Now, ConfigProof_.needsRead(Now)))
+    startRead(*Next, Now);
   updateState();
   if (Stop_)
     continueStop(Now);
 }
 
-void GatewayDaemon::startRead(const ReadRequest &Order) {
+void GatewayDaemon::startRead(const ReadRequest &Order, TimePoint Now) {
+  if (Order.IsForProof_)
+    ConfigProof_.readStarted(Now);
   const PublishedStateReader::Callback Done =
       [this, Order](const PublishedRead &Read) { onReadEnded(Order, Read); };
   switch (Order.Kind_) {
@@ -342,13 +349,7 @@
     Core_.setTable(Result.NewTable_);
     updateCallerHosts();
     FrontServer_.setLimits(Result.NewTable_->config().Limits_);
-    Log_.write(
-        LogLevel::Info, "config", "in_force",
-        {{"version", std::to_string(Result.NewTable_->config().Version_)},
-         {"revision", std::to_string(Follower_.configRevision())},
-         {"routes",
-          std::to_string(Result.NewTable_->config().Routes_.size())}});
-    logConfigProblems(*Result.NewTable_);
+    logConfigInForce(*Result.NewTable_, Follower_.configRevision(), Log_);
   }
   if (Result.TargetsChanged_) {
     Core_.setTargets(Follower_.directory().entries(), Now);
@@ -358,40 +359,14 @@
          {"targets", std::to_string(Follower_.directory().entries().size())},
          {"held_back", std::to_string(Follower_.directory().heldBack())}});
   }
+  ConfigProof_.follow(Result, Follower_.table().get(), Now);
   if (Result.ToForward_)
-    sendChangesToOwnDomain(*Result.ToForward_);
+    for (const StoreChangesMessage &Part :
+         splitStoreChanges(*Result.ToForward_))
+      Peers_.sendToOwnDomain(Part);
   updateState();
 }
 
-/// One line for each configuration that has routes of an unknown kind, and one
-/// for each problem of its workspaces.
-void GatewayDaemon::logConfigProblems(const RouteTable &Table) {
-  const RoutingConfig &Config = Table.config();
-  std::vector<std::string> Problems = Config.WorkspaceProblems_;
-  if (Table.workspaces())
-    std::ranges::copy(Table.workspaces()->problems(),
-                      std::back_inserter(Problems));
-  Problems.resize(std::min(Problems.size(), WorkspaceIndex::MaxProblems));
-  for (const std::string &Problem : Problems)
-    Log_.write(
-        LogLevel::Warning, "config", "workspace_problem",
-        {{"version", std::to_string(Config.Version_)}, {"detail", Problem}});
-  if (Config.UnknownKinds_.empty())
-    return;
-  std::string Kinds;
-  for (const std::string &Kind : Config.UnknownKinds_)
-    Kinds += (Kinds.empty() ? "" : ",") + Kind;
-  Log_.write(LogLevel::Warning, "config", "unknown_kinds",
-             {{"version", std::to_string(Config.Version_)},
-              {"kinds", Kinds},
-              {"handled_as", "at_most_once"}});
-}
-
-void GatewayDaemon::sendChangesToOwnDomain(const StoreChangesMessage &Message) {
-  for (const StoreChangesMessage &Part : splitStoreChanges(Message))
-    Peers_.sendToOwnDomain(Part);
-}
-
 void GatewayDaemon::updateCallerHosts() {
   if (!Core_.hasTable())
     return;
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -22,8 +22,8 @@
   return "unknown";
 }
 
-std::optional<ReadRequest> StoreFollower::due(std::uint32_t Rank,
-                                              TimePoint Now) {
+std::optional<ReadRequest> StoreFollower::due(std::uint32_t Rank, TimePoint Now,
+                                              bool NeedsProof) {
   if (InProgress_ || Now < BackoffUntil_)
     return std::nullopt;
   const Duration Wait =
@@ -38,8 +38,11 @@
     const bool AllowStale = StaleCopyReadFor_ < PeerConfigRevision_;
     StaleCopyReadFor_ = PeerConfigRevision_;
     InProgress_ = ReadRequest{ReadRequest::Kind::Config, 0, AllowStale};
-  }
+  } else if (NeedsProof)
+    InProgress_ =
+        ReadRequest{ReadRequest::Kind::Changes, Revision_, false, true};
   InProgressEra_ = Era_;
+  InProgressSince_ = Now;
   return InProgress_;
 }
 
@@ -67,6 +70,7 @@
   }
   Era_ = Era;
   ConfigRevision_ = 0;
+  StoreVersion_.reset();
   PeerConfigRevision_ = 0;
   StaleCopyReadFor_ = 0;
   ConsecutiveFailures_ = 0;
@@ -103,19 +107,23 @@
   ConsecutiveFailures_ = 0;
   if (Read.Config_)
     applyConfig(*Read.Config_, Result);
+  // Changes after a revision of another era are not all that has changed.
+  if (Request.Kind_ == ReadRequest::Kind::Changes && NeedsListing_)
+    return Result;
+  Result.Reading_ = configReading(Request);
   if (Request.Kind_ == ReadRequest::Kind::Config)
     return Result;
-  if (Request.Kind_ == ReadRequest::Kind::All) {
-    FreshAt_ = Now;
-    HasGap_ = false;
-    applyAll(Read, Now, Result);
+  if (Request.IsForProof_) {
+    // The next reader forwards these changes, with others that came before.
+    apply(Read.Targets_, Now, Result.TargetsChanged_);
     return Result;
   }
-  // Changes after a revision of another era are not all that has changed.
-  if (NeedsListing_)
-    return Result;
   FreshAt_ = Now;
   HasGap_ = false;
+  if (Request.Kind_ == ReadRequest::Kind::All) {
+    applyAll(Read, Now, Result);
+    return Result;
+  }
   std::vector<TargetChange> Changed =
       apply(Read.Targets_, Now, Result.TargetsChanged_);
   Result.ToForward_ =
@@ -129,6 +137,16 @@
   return Result;
 }
 
+/// A stale copy may lack a confirmed configuration. Changes may lack one as
+/// well: one that came before them and that only a peer has read.
+std::optional<ConfigReading>
+StoreFollower::configReading(const ReadRequest &Request) const {
+  if (Request.AllowStale_ || PeerConfigRevision_ > ConfigRevision_ ||
+      !StoreVersion_)
+    return std::nullopt;
+  return ConfigReading{InProgressSince_, Era_, *StoreVersion_};
+}
+
 void StoreFollower::applyAll(const PublishedRead &Read, TimePoint Now,
                              FollowResult &Result) {
   std::vector<TargetEntry> Entries;
@@ -149,7 +167,12 @@
 
 void StoreFollower::applyConfig(const PublishedConfig &Config,
                                 FollowResult &Result) {
-  ConfigRevision_ = std::max(ConfigRevision_, Config.Revision_);
+  if (Config.Revision_ >= ConfigRevision_) {
+    ConfigRevision_ = Config.Revision_;
+    StoreVersion_.reset();
+    if (Config.Table_)
+      StoreVersion_ = Config.Table_->config().Version_;
+  }
   if (!Config.Table_)
     return;
   if (Table_ && Config.Table_->config().Version_ <= Table_->config().Version_)
--- a/test/store-follower-test.cc
+++ b/test/store-follower-test.cc
@@ -335,3 +335,89 @@
   CHECK(Result.ToForward_ ==
         (StoreChangesMessage{HostId("h1"), 10, 11, 4, {Drains}}));
 }
+
+TEST(StoreFollower, ReadOfTheNewestStateReportsWhenItWasSent) {
+  Follower_.due(0, atMs(0));
+  PublishedRead All = read(10, {change("a", 5)});
+  All.Config_ = PublishedConfig{4, table(7)};
+  CHECK(Follower_.readEnded(All, atMs(300)).Reading_ ==
+        (ConfigReading{atMs(0), 0, 7}));
+  Follower_.due(0, atMs(1'000));
+  CHECK(Follower_.readEnded(read(11), atMs(1'200)).Reading_ ==
+        (ConfigReading{atMs(1'000), 0, 7}));
+}
+
+TEST(StoreFollower, FailedReadShowsNothing) {
+  listAll(0);
+  Follower_.due(0, atMs(1'000));
+  CHECK_FALSE(
+      Follower_.readEnded(PublishedRead(), atMs(1'010)).Reading_.has_value());
+}
+
+// Guards against accepting a key by a copy that lacks its withdrawal.
+TEST(StoreFollower, StaleCopyShowsNothing) {
+  listAll(0);
+  Follower_.receive(StoreChangesMessage{HostId("h0"), 10, 12, 11, {}},
+                    atMs(100));
+  CHECK(Follower_.due(3, atMs(101))->AllowStale_);
+  PublishedRead Copy = read(12);
+  Copy.Config_ = PublishedConfig{11, table(9)};
+  CHECK_FALSE(Follower_.readEnded(Copy, atMs(105)).Reading_.has_value());
+}
+
+// Guards against taking changes for the newest state when a peer said that it
+// is complete up to their start, without the configuration before that.
+TEST(StoreFollower, ChangesAfterAnUnreadConfigurationShowNothing) {
+  listAll(0);
+  CHECK(Follower_.due(0, atMs(800)).has_value());
+  Follower_.receive(StoreChangesMessage{HostId("h0"), 10, 12, 11, {}},
+                    atMs(801));
+  CHECK_FALSE(Follower_.readEnded(read(12), atMs(810)).Reading_.has_value());
+  CHECK(Follower_.due(0, atMs(811))->AllowStale_);
+  PublishedRead Old = read(10);
+  Old.Config_ = PublishedConfig{4, table(7)};
+  Follower_.readEnded(Old, atMs(812));
+  CHECK_FALSE(Follower_.due(0, atMs(813))->AllowStale_);
+  PublishedRead Newest = read(12);
+  Newest.Config_ = PublishedConfig{11, table(9)};
+  CHECK(Follower_.readEnded(Newest, atMs(820)).Reading_ ==
+        (ConfigReading{atMs(813), 0, 9}));
+}
+
+// Guards against accepting a key that a configuration withdraws which this host
+// cannot decode.
+TEST(StoreFollower, UndecodableConfigurationShowsNothing) {
+  listAll(0);
+  Follower_.due(0, atMs(800));
+  PublishedRead Broken = read(12);
+  Broken.Config_ = PublishedConfig{12, nullptr};
+  CHECK_FALSE(Follower_.readEnded(Broken, atMs(810)).Reading_.has_value());
+  Follower_.due(0, atMs(1'600));
+  CHECK_FALSE(Follower_.readEnded(read(13), atMs(1'610)).Reading_.has_value());
+  Follower_.due(0, atMs(2'400));
+  PublishedRead Mended = read(14);
+  Mended.Config_ = PublishedConfig{14, table(9)};
+  CHECK(Follower_.readEnded(Mended, atMs(2'410)).Reading_ ==
+        (ConfigReading{atMs(2'400), 0, 9}));
+}
+
+// Guards against gaps at all hosts of a domain after the read of one: only
+// reads that are forwarded move the revision up to which it is complete.
+TEST(StoreFollower, ReadForAProofIsNotForwarded) {
+  listAll(0);
+  CHECK_FALSE(Follower_.due(3, atMs(600)).has_value());
+  CHECK(Follower_.due(3, atMs(600), true) ==
+        (ReadRequest{ReadRequest::Kind::Changes, 10, false, true}));
+  const FollowResult Result =
+      Follower_.readEnded(read(20, {change("a", 12, true)}), atMs(610));
+  CHECK(Result.TargetsChanged_);
+  CHECK(Result.Reading_.has_value());
+  CHECK_FALSE(Result.ToForward_.has_value());
+  CHECK_EQUAL(10, Follower_.revision());
+  CHECK(Follower_.due(0, atMs(700))->After_ == 10);
+}
+
+TEST(StoreFollower, ReadForAProofComesAfterAllOthers) {
+  listAll(0);
+  CHECK_FALSE(Follower_.due(0, atMs(800), true)->IsForProof_);
+}
