WorkspaceLimits: divide workspaces' limits among the hosts of the fleet

A workspace's limit holds for all hosts together, also while hosts are lost, cut off or restarted. Nothing kept it.

The 25 largest hosts own equal parts of all limits and delegate them for a term to the serving host with the most processor time. That coordinator fills a token bucket for each workspace with the parts that it has, and grants tokens with a lifetime to the hosts that have requests. Terms are counted from messages that the counting host itself sent or received; clocks are not compared. QuotaShare would need a message to each of up to 96 hosts for one token, and the division of rate-limit-share is not a bound where views differ.

The modules are not in use yet.

--- a/include/kumquatpitch/peer-datagram.h
+++ b/include/kumquatpitch/peer-datagram.h
@@ -4,6 +4,7 @@
 #ifndef KUMQUATPITCH_PEER_DATAGRAM_H
 #define KUMQUATPITCH_PEER_DATAGRAM_H
 
+#include "kumquatpitch/admission/limit-peer.h"
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/result.h"
 #include "kumquatpitch/store-follower.h"
@@ -48,7 +49,8 @@
 
 using PeerDatagram =
     std::variant<ProbeMessage, StoreChangesMessage, EvidenceMessage,
-                 OutcomeCountsMessage, RateLimitsMessage>;
+                 OutcomeCountsMessage, RateLimitsMessage, LimitPartOffer,
+                 LimitPartQuestion, TokenRequest, TokenAnswer>;
 
 /// Maximum number of services in one OutcomeCountsMessage. A message with this
 /// many services fits into one datagram even if all names have the maximum
@@ -64,6 +66,9 @@
 /// Fails with PeerMessageMalformed or PeerVersionUnknown.
 Result<PeerDatagram> decodeDatagram(const std::string &Bytes);
 
+/// The message about workspaces' limits, if the datagram is one.
+std::optional<LimitMessage> limitMessageOf(const PeerDatagram &Datagram);
+
 /// Divides the limits among messages that fit into one datagram each.
 std::vector<RateLimitsMessage>
 splitRateLimits(const std::vector<NamedRateLimit> &Limits);
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -19,10 +19,16 @@
   Progress = 2,
   Evidence = 3,
   OutcomeCounts = 4,
-  RateLimits = 5
+  RateLimits = 5,
+  LimitPartOffer = 6,
+  LimitPartQuestion = 7,
+  TokenRequest = 8,
+  TokenAnswer = 9
 };
 /// A rate limit is announced within seconds of the answer that named it.
 constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
+constexpr std::int64_t MaxNextTokenMs = 60'000;
+constexpr std::uint32_t MaxTokens = 65'535;
 
 Json toJson(const Member &Host) {
   return Json::array({Host.Id_.str(), Host.Address_, Host.Domain_.str(),
@@ -98,6 +104,15 @@
   return Limit;
 }
 
+Json toJson(const TokenWish &Wish) {
+  return Json::array({Wish.Key_, Wish.Needed_, Wish.Wanted_});
+}
+
+Json toJson(const TokenGrant &Grant) {
+  return Json::array(
+      {Grant.Key_, Grant.Tokens_, toMilliseconds(Grant.NextIn_)});
+}
+
 template <class Item> Json encodeList(const std::vector<Item> &Items) {
   Json List = Json::array();
   for (const Item &Element : Items)
@@ -142,6 +157,33 @@
                       Message.Forward_, encodeList(Message.Limits_)});
 }
 
+Json encodeBody(const LimitPartOffer &Message) {
+  return Json::array(
+      {FormatVersion, static_cast<int>(MessageKind::LimitPartOffer),
+       Message.From_.str(), Message.Coordinator_, Message.Question_,
+       Message.Divisor_, Message.IsWithdrawal_});
+}
+
+Json encodeBody(const LimitPartQuestion &Message) {
+  return Json::array({FormatVersion,
+                      static_cast<int>(MessageKind::LimitPartQuestion),
+                      Message.From_.str(), Message.Incarnation_,
+                      Message.Question_, Message.IsRelease_});
+}
+
+Json encodeBody(const TokenRequest &Message) {
+  return Json::array({FormatVersion,
+                      static_cast<int>(MessageKind::TokenRequest),
+                      Message.From_.str(), Message.Incarnation_, Message.Id_,
+                      encodeList(Message.Wishes_)});
+}
+
+Json encodeBody(const TokenAnswer &Message) {
+  return Json::array({FormatVersion, static_cast<int>(MessageKind::TokenAnswer),
+                      Message.From_.str(), Message.Requester_, Message.Id_,
+                      Message.HasShare_, encodeList(Message.Grants_)});
+}
+
 ProbeMessage decodeProbe(const Json &Body) {
   ProbeMessage Message;
   Message.From_ = decodeMember(Body.at(2));
@@ -200,6 +242,55 @@
   return Message;
 }
 
+LimitPartOffer decodePartOffer(const Json &Body) {
+  return LimitPartOffer{
+      HostId(Body.at(2).get<std::string>()), Body.at(3).get<std::uint64_t>(),
+      Body.at(4).get<std::uint64_t>(), Body.at(5).get<std::uint32_t>(),
+      Body.at(6).get<bool>()};
+}
+
+LimitPartQuestion decodePartQuestion(const Json &Body) {
+  return LimitPartQuestion{
+      HostId(Body.at(2).get<std::string>()), Body.at(3).get<std::uint64_t>(),
+      Body.at(4).get<std::uint64_t>(), Body.at(5).get<bool>()};
+}
+
+std::uint32_t decodeTokens(const Json &Count) {
+  const std::uint64_t Tokens = Count.get<std::uint64_t>();
+  if (Tokens > MaxTokens)
+    throw std::out_of_range("number of tokens is out of range");
+  return static_cast<std::uint32_t>(Tokens);
+}
+
+TokenRequest decodeTokenRequest(const Json &Body) {
+  TokenRequest Message{HostId(Body.at(2).get<std::string>()),
+                       Body.at(3).get<std::uint64_t>(),
+                       Body.at(4).get<std::uint64_t>(),
+                       {}};
+  for (const Json &Wish : Body.at(5))
+    Message.Wishes_.push_back(TokenWish{Wish.at(0).get<std::uint64_t>(),
+                                        decodeTokens(Wish.at(1)),
+                                        decodeTokens(Wish.at(2))});
+  return Message;
+}
+
+TokenAnswer decodeTokenAnswer(const Json &Body) {
+  TokenAnswer Message{HostId(Body.at(2).get<std::string>()),
+                      Body.at(3).get<std::uint64_t>(),
+                      Body.at(4).get<std::uint64_t>(),
+                      Body.at(5).get<bool>(),
+                      {}};
+  for (const Json &Grant : Body.at(6)) {
+    const std::int64_t NextInMs = Grant.at(2).get<std::int64_t>();
+    if (NextInMs < 0 || NextInMs > MaxNextTokenMs)
+      throw std::out_of_range("time until the next token is out of range");
+    Message.Grants_.push_back(TokenGrant{Grant.at(0).get<std::uint64_t>(),
+                                         decodeTokens(Grant.at(1)),
+                                         std::chrono::milliseconds(NextInMs)});
+  }
+  return Message;
+}
+
 } // namespace
 
 std::string encodeDatagram(const PeerDatagram &Message) {
@@ -227,6 +318,14 @@
       return PeerDatagram(decodeTally(Body));
     case MessageKind::RateLimits:
       return PeerDatagram(decodeRateLimits(Body));
+    case MessageKind::LimitPartOffer:
+      return PeerDatagram(decodePartOffer(Body));
+    case MessageKind::LimitPartQuestion:
+      return PeerDatagram(decodePartQuestion(Body));
+    case MessageKind::TokenRequest:
+      return PeerDatagram(decodeTokenRequest(Body));
+    case MessageKind::TokenAnswer:
+      return PeerDatagram(decodeTokenAnswer(Body));
     }
   } catch (const std::exception &Error) {
     return fail(ResultCode::PeerMessageMalformed, Error.what());
@@ -234,6 +333,19 @@
   return fail(ResultCode::PeerMessageMalformed, "unknown datagram kind");
 }
 
+std::optional<LimitMessage> limitMessageOf(const PeerDatagram &Datagram) {
+  if (const LimitPartOffer *Offer = std::get_if<LimitPartOffer>(&Datagram))
+    return *Offer;
+  if (const LimitPartQuestion *Question =
+          std::get_if<LimitPartQuestion>(&Datagram))
+    return *Question;
+  if (const TokenRequest *Request = std::get_if<TokenRequest>(&Datagram))
+    return *Request;
+  if (const TokenAnswer *Answer = std::get_if<TokenAnswer>(&Datagram))
+    return *Answer;
+  return std::nullopt;
+}
+
 std::vector<RateLimitsMessage>
 splitRateLimits(const std::vector<NamedRateLimit> &Limits) {
   // A limit takes about 80 bytes.
--- a/test/peer-datagram-test.cc
+++ b/test/peer-datagram-test.cc
@@ -175,3 +175,37 @@
   Probe.Members_.assign(16, Probe.From_);
   CHECK(encodeDatagram(Probe).size() <= MaxDatagramBytes);
 }
+
+TEST(PeerDatagram, LimitMessagesDecodeToWhatWasEncoded) {
+  const std::vector<PeerDatagram> Messages{
+      LimitPartOffer{HostId("edge-1"), 1'767'280'437'058, 12, 25, false},
+      LimitPartQuestion{HostId("edge-1"), 1'767'280'437'058, 13, true},
+      TokenRequest{
+          HostId("edge-1"), 1'767'280'437'058, 7, {{1ULL << 63, 2, 3}}},
+      TokenAnswer{HostId("edge-1"),
+                  1'767'280'437'058,
+                  7,
+                  true,
+                  {{1ULL << 63, 5, ms(90)}}}};
+  for (const PeerDatagram &Message : Messages) {
+    CHECK(decodeOrNone(encodeDatagram(Message)) == Message);
+    CHECK(limitMessageOf(Message).has_value());
+  }
+}
+
+TEST(PeerDatagram, FullTokenRequestAndAnswerFitIntoOneDatagram) {
+  const HostId Longest(std::string(MaxNameBytes, 'h'));
+  TokenRequest Request{Longest, ~0ULL, ~0ULL, {}};
+  Request.Wishes_.assign(MaxTokenWishes, {~0ULL, 65'535, 65'535});
+  CHECK(encodeDatagram(Request).size() <= MaxDatagramBytes);
+  TokenAnswer Answer{Longest, ~0ULL, ~0ULL, true, {}};
+  Answer.Grants_.assign(MaxTokenWishes, {~0ULL, 65'535, ms(60'000)});
+  CHECK(encodeDatagram(Answer).size() <= MaxDatagramBytes);
+}
+
+TEST(PeerDatagram, TokensOutOfRangeAreRejected) {
+  CHECK_FALSE(decodeOrNone(
+      encodeDatagram(TokenRequest{HostId("a"), 1, 1, {{1, 65'536, 0}}})));
+  CHECK_FALSE(decodeOrNone(encodeDatagram(
+      TokenAnswer{HostId("a"), 1, 1, true, {{1, 1, ms(60'001)}}})));
+}
