Responses without a valid status are failures of their attempts

The parser library reads the status as a number of any length, and each number below 200 counted as an interim response. A caller waited for the whole time of its route behind 000, 099 or an unasked 101, got a response behind it as its answer, or got 0200 as a success and 600 or 999 as an answer.

StatusLineCheck reads the status before the library: three digits from 100 to 599, and not 101. Otherwise the attempt fails at once, the connection is closed, and the caller gets 502 or the answer of another target. The same check covers the backend client of `serve`.

--- a/include/kumquatpitch/backend-stream.h
+++ b/include/kumquatpitch/backend-stream.h
@@ -7,6 +7,7 @@
 
 #include "kumquatpitch/response-end.h"
 #include "kumquatpitch/spliced-response.h"
+#include "kumquatpitch/status-line.h"
 #include "kumquatpitch/time-point.h"
 
 #include <array>
@@ -20,7 +21,8 @@
 /// Checks that the bytes of a response are one complete message. The HTTP
 /// library is less strict: it skips a line of the head that is no header field,
 /// and takes a chunk that is not followed by a line end for the last one.
-/// Nor does it limit a head, a chunk's line or trailers; the parser does.
+/// Nor does it limit a head, a chunk's line or trailers; the parser does. It
+/// takes each status of three digits.
 class ResponseSyntaxCheck {
 public:
   /// `IsBodyOmitted` is true for the response to a HEAD request.
@@ -51,6 +53,7 @@
 
   const bool IsBodyOmitted_;
   http_parser Parser_{};
+  StatusLineCheck StatusLine_; ///< Of the current head.
   std::size_t ReasonBytes_ = 0;
   bool HasNoBody_ = false;
   bool IsComplete_ = false;
--- a/include/kumquatpitch/message-parser.h
+++ b/include/kumquatpitch/message-parser.h
@@ -7,6 +7,7 @@
 
 #include "kumquatpitch/http-message.h"
 #include "kumquatpitch/result-code.h"
+#include "kumquatpitch/status-line.h"
 
 #include <cstdint>
 #include <http_parser.h>
@@ -95,6 +96,8 @@
   State state() const { return State_; }
   /// Why the stream was rejected: too large, or malformed.
   ResultCode code() const { return Code_; }
+  /// True if a response was rejected for its status, see StatusLineCheck.
+  bool hasInvalidStatus() const { return StatusLine_.isInvalid(); }
   /// True if bytes of a message that is not complete have been parsed.
   bool hasBegun() const { return HeadBytes_ > 0 && State_ != State::Complete; }
   /// Bytes that the parser holds or will hold for the body: the announced
@@ -127,6 +130,7 @@
   std::uint64_t MaxHeadBytes_;
   std::uint64_t MaxBodyBytes_;
   http_parser Parser_{};
+  StatusLineCheck StatusLine_; ///< Of the current response.
   HttpMessage Message_;
   State State_ = State::Head;
   ResultCode Code_ = ResultCode::Ok;
--- a/src/backend-stream.cc
+++ b/src/backend-stream.cc
@@ -17,6 +17,7 @@
 void ResponseSyntaxCheck::reset() {
   http_parser_init(&Parser_, HTTP_RESPONSE);
   Parser_.data = this;
+  StatusLine_ = StatusLineCheck();
   IsComplete_ = false;
 }
 
@@ -37,6 +38,11 @@
     IsRejected_ = true;
     return;
   }
+  StatusLine_.feed(Bytes);
+  if (StatusLine_.isInvalid()) {
+    IsRejected_ = true;
+    return;
+  }
   const std::size_t Consumed =
       http_parser_execute(&Parser_, &Settings, Bytes.data(), Bytes.size());
   // The parser pauses at the end of a message.
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -231,7 +231,10 @@
     if (Scan_.verdict() == SplicedResponseScan::Verdict::Spliced)
       return failSpliced();
     if (IsRejected)
-      return fail(CallEnd::Broken, "response is not valid HTTP or too large");
+      return fail(CallEnd::Broken,
+                  Parser_->hasInvalidStatus()
+                      ? "response without a valid status"
+                      : "response is not valid HTTP or too large");
     if (IsComplete && completeOrSkip(Bytes))
       return;
     if (failUnprovable())
--- a/src/message-parser.cc
+++ b/src/message-parser.cc
@@ -171,6 +171,7 @@
   http_parser_init(&Parser_,
                    Kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   Parser_.data = this;
+  StatusLine_ = StatusLineCheck();
   Message_ = HttpMessage();
   AnnouncedBytes_ = 0;
   State_ = State::Head;
@@ -183,6 +184,12 @@
     return 0;
   if (HeadBytes_ == 0)
     HeadBytes_ = 1;
+  if (Kind_ == Kind::Response)
+    StatusLine_.feed(Bytes);
+  if (StatusLine_.isInvalid()) {
+    reject(ResultCode::RequestMalformed);
+    return 0;
+  }
   const std::size_t Consumed =
       http_parser_execute(&Parser_, &Settings, Bytes.data(), Bytes.size());
   if (State_ == State::Complete || State_ == State::Rejected)
--- a/test/answer-composer.h
+++ b/test/answer-composer.h
@@ -1,11 +1,13 @@
 // Composes what a faulty backend server writes for one request: its answer and
 // a second one, each with any framing, cut at any byte, in any order and at any
-// time. No I/O: the same seed gives the same bytes. Used by
-// composed-answers-test and composed-attempts-test.
+// time, some without a valid status. No I/O: the same seed gives the same
+// bytes. Used by composed-answers-test and composed-attempts-test.
 
 #ifndef KUMQUATPITCH_ANSWER_COMPOSER_H
 #define KUMQUATPITCH_ANSWER_COMPOSER_H
 
+#include "odd-status-lines.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
@@ -39,6 +41,8 @@
   /// The first part of an answer without a length, and an orderly end. Nothing
   /// on the connection tells it from a whole one.
   bool IsUntellable_ = false;
+  /// No status in it is valid, so that no part of it is an answer.
+  bool HasOddStatus_ = false;
   std::string Description_;
 };
 
@@ -65,11 +69,25 @@
     const std::string Text = std::to_string(Seed) + " " + Name;
     std::seed_seq Sequence(Text.begin(), Text.end());
     Random_.seed(Sequence);
+    chooseStatusLine(Text + " status");
   }
 
   /// What the server writes for the request `Id` on a connection on which it
   /// has answered `OlderId` before; empty if there was none.
   ComposedAnswer compose(const std::string &Id, const std::string &OlderId) {
+    ComposedAnswer Answer = composeAnswers(Id, OlderId);
+    if (StatusLine_ == ValidStatusLine)
+      return Answer;
+    Answer.HasOddStatus_ = true;
+    Answer.IsSound_ = false;
+    Answer.IsUntellable_ = false;
+    Answer.Description_ += ", status " + StatusLine_;
+    return Answer;
+  }
+
+private:
+  ComposedAnswer composeAnswers(const std::string &Id,
+                                const std::string &OlderId) {
     ComposedAnswer Answer;
     const Framing OwnFraming = pickFraming();
     const std::string Own = response(Id, OwnFraming);
@@ -132,7 +150,6 @@
     return Answer;
   }
 
-private:
   enum class Framing : std::uint8_t { Length, Chunked, None };
   /// Where the second answer stands.
   enum class Order : std::uint8_t { Alone, Behind, Inside, Before };
@@ -142,6 +159,30 @@
   static constexpr std::size_t MinSecondBytes = 6;
   static constexpr std::size_t StatusLineBytes = 13; ///< "HTTP/1.1 200 "
   static constexpr std::size_t MaxDelayMs = 450;
+  static constexpr const char *ValidStatusLine = "200 OK";
+  /// One in so many requests gets answers without a valid status.
+  static constexpr std::size_t OddStatusPeriod = 12;
+
+  /// Draws from a generator of its own: what Random_ composes for a seed stays
+  /// the same.
+  void chooseStatusLine(const std::string &Name) {
+    std::seed_seq Sequence(Name.begin(), Name.end());
+    std::mt19937_64 Random(Sequence);
+    if (Random() % OddStatusPeriod != 0)
+      return;
+    StatusLine_ = OddStatusLines[Random() % OddStatusLines.size()];
+    const std::string NextHead = "\r\n\r\nHTTP/1.1 ";
+    switch (Random() % 3) {
+    case 0:
+      StatusLine_ = "100 Continue" + NextHead + StatusLine_;
+      break;
+    case 1:
+      StatusLine_ += NextHead + ValidStatusLine;
+      break;
+    default:
+      break;
+    }
+  }
 
   std::size_t pick(std::size_t Bound) { return Random_() % Bound; }
   Framing pickFraming() { return static_cast<Framing>(pick(3)); }
@@ -167,8 +208,9 @@
 
   std::string response(const std::string &Id, Framing Kind) {
     const std::string Body = composedBody(Id);
-    std::string Text = "HTTP/1.1 200 OK\r\n" + Headers_.AnswerId_ + ": " + Id +
-                       "\r\n" + Headers_.AnswerSignature_ + ": s" + Id + "\r\n";
+    std::string Text = "HTTP/1.1 " + StatusLine_ + "\r\n" + Headers_.AnswerId_ +
+                       ": " + Id + "\r\n" + Headers_.AnswerSignature_ + ": s" +
+                       Id + "\r\n";
     if (Kind == Framing::Length)
       return Text + "Content-Length: " + std::to_string(Body.size()) +
              "\r\n\r\n" + Body;
@@ -214,6 +256,7 @@
   }
 
   const ComposedHeaders Headers_;
+  std::string StatusLine_ = ValidStatusLine; ///< Of all answers.
   std::mt19937_64 Random_;
 };
 
--- a/test/backend-client-test.cc
+++ b/test/backend-client-test.cc
@@ -4,6 +4,7 @@
 #include "kumquatpitch/response-match.h"
 
 #include "manual-time.h"
+#include "odd-status-lines.h"
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <asio/read_until.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
+#include <poll.h>
 #include <string>
 #include <thread>
 #include <vector>
@@ -47,19 +49,26 @@
         .Report_.End_;
   }
 
-  /// Sends one attempt to a server that writes `Answer` and closes.
-  AttemptEnd attempt(const std::string &Answer) {
+  /// Sends one attempt to a server that writes `Answer` and closes, if
+  /// `KeepsOpen` only after the client or after 2 s. Returns TimedOut for an
+  /// attempt that lasts as long.
+  AttemptEnd attempt(const std::string &Answer, bool KeepsOpen = false) {
+    constexpr int KeptMs = 2'000;
+    bool IsClosedByClient = true;
     std::thread ServerThread([&] {
       asio::ip::tcp::socket Connection = Server_.accept();
       asio::streambuf Request;
       asio::read_until(Connection, Request, "\r\n\r\n");
       asio::write(Connection, asio::buffer(Answer));
+      pollfd State{Connection.native_handle(), POLLIN, 0};
+      if (KeepsOpen)
+        IsClosedByClient = poll(&State, 1, KeptMs) > 0;
     });
     AttemptOrder Order = order("7-1");
     Order.RequiresNewConnection_ = true;
     const AttemptEnd End = runAttempt(Order);
     ServerThread.join();
-    return End;
+    return IsClosedByClient ? End : AttemptEnd::TimedOut;
   }
 };
 
@@ -294,3 +303,17 @@
   ServerThread.join();
   LONGS_EQUAL(AttemptEnd::Mismatched, End);
 }
+
+// Guards against taking a response without a valid status, and against waiting
+// behind it for another one. The server keeps its connection open.
+TEST(BackendClient, ResponsesWithoutAValidStatusAreFailures) {
+  const std::string Sound = "HTTP/1.1 200 OK\r\nX-Attempt: 7-1\r\n"
+                            "Content-Length: 2\r\n\r\nok";
+  for (const char *StatusLine : test::OddStatusLines)
+    for (const std::string Before : {"", "HTTP/1.1 100 Continue\r\n\r\n"})
+      for (const std::string &Behind : {std::string(), Sound}) {
+        std::string Bytes = Before;
+        Bytes.append(test::withStatusLine(Sound, StatusLine)).append(Behind);
+        CHECK_TEXT(attempt(Bytes, true) == AttemptEnd::Broken, Bytes.c_str());
+      }
+}
--- a/test/composed-answers-test.cc
+++ b/test/composed-answers-test.cc
@@ -65,11 +65,19 @@
   }
 
 private:
+  static bool hasValidStatus(const std::string &Head) {
+    constexpr std::size_t StatusAt = 9; // Behind "HTTP/1.1 ".
+    return Head.find(' ', StatusAt) == StatusAt + 3 && Head[StatusAt] >= '1' &&
+           Head[StatusAt] <= '5';
+  }
+
   Verdict judge(const std::string &Id, bool IsReset) const {
     const std::size_t HeadEnd = Received_.find("\r\n\r\n");
     if (HeadEnd == std::string::npos)
       return Verdict::Failed;
     const std::string Head = Received_.substr(0, HeadEnd + 2);
+    if (!hasValidStatus(Head))
+      return Verdict::Mixed;
     if (Head.starts_with("HTTP/1.1 503"))
       return Verdict::NotRun;
     if (!Head.starts_with("HTTP/1.1 200"))
@@ -206,14 +214,20 @@
                        ComposedRecord &Record, ComposedTally &Tally,
                        std::mutex &Mutex) {
     ComposedCaller Caller(FrontPort);
-    const Verdict Got = Caller.call(Id, IsIdempotent);
+    Verdict Got = Caller.call(Id, IsIdempotent);
     const std::lock_guard<std::mutex> Lock(Mutex);
+    const std::vector<ComposedAnswer> AllSent = Record.answersTo(Id);
+    const bool HasSentAnAnswer = std::any_of(
+        AllSent.begin(), AllSent.end(),
+        [](const ComposedAnswer &Sent) { return !Sent.HasOddStatus_; });
+    if (Got == Verdict::Whole && !HasSentAnAnswer)
+      Got = Verdict::Mixed;
     ++Tally.Counts_[static_cast<std::size_t>(Got)];
     if (Got != Verdict::Mixed && Got != Verdict::Partial)
       return;
     std::string Line = Id + ": " + Caller.describe();
     bool IsUntellable = false;
-    for (const ComposedAnswer &Sent : Record.answersTo(Id)) {
+    for (const ComposedAnswer &Sent : AllSent) {
       Line += "; " + Sent.Description_;
       IsUntellable = IsUntellable || Sent.IsUntellable_;
     }
--- a/test/composed-attempts-test.cc
+++ b/test/composed-attempts-test.cc
@@ -61,6 +61,8 @@
   if (provesNotRun(End))
     return Sent.empty() ? "" : "reported as not run";
   if (End == AttemptEnd::Answered) {
+    if (!Sent.empty() && Sent.front().HasOddStatus_)
+      return "answered without a valid status";
     const HttpResponse &Answer = Result.Answer_;
     if (findHeader(Answer.Headers_, Headers.AnswerId_) != Id ||
         findHeader(Answer.Headers_, Headers.AnswerSignature_) != "s" + Id)
--- a/test/message-parser-test.cc
+++ b/test/message-parser-test.cc
@@ -3,6 +3,8 @@
 
 #include "kumquatpitch/message-parser.h"
 
+#include "odd-status-lines.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpitch;
@@ -71,6 +73,25 @@
   CHECK(TooMany.code() == ResultCode::RequestHeadTooLarge);
 }
 
+// Guards against taking such a response for a success or an interim response.
+TEST(MessageParser, RejectsResponseWithoutAValidStatus) {
+  for (const char *StatusLine : test::OddStatusLines) {
+    const std::string Bytes =
+        "HTTP/1.1 " + std::string(StatusLine) + "\r\nContent-Length: 0\r\n\r\n";
+    MessageParser Whole(Kind::Response, HeadLimit, BodyLimit);
+    Whole.feed(Bytes);
+    CHECK_TEXT(Whole.state() == ParseState::Rejected, StatusLine);
+    CHECK(Whole.code() == ResultCode::RequestMalformed);
+    CHECK(Whole.hasInvalidStatus());
+    MessageParser Second(Kind::Response, HeadLimit, BodyLimit);
+    Second.feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK_EQUAL(200, Second.take().Status_);
+    for (const char Byte : Bytes)
+      Second.feed(std::string_view(&Byte, 1));
+    CHECK_TEXT(Second.state() == ParseState::Rejected, StatusLine);
+  }
+}
+
 // Guards against request smuggling: with two lengths in a request, two parsers
 // may disagree on where it ends.
 TEST(MessageParser, RejectsRequestWithTwoLengths) {
