Gateway: keep the limits of workspaces

Requests of a workspace ran without regard to its limit.

GatewayCore takes a token for each request of a workspace that has a limit, before it counts at a service. A request without one waits outside the queues of the services, or is refused with 429 and the time until a token is there. One that no target got gives its token back. LimitExchange sends and receives the messages where the settings name a window.

The unit tests of the groups GatewayLimits, GatewayCore, GatewayFront, GatewayAnswers, GatewayLoad, WorkspaceFront, Admission, Limit, WorkspaceLimits and PeerDatagram pass.

--- a/include/kumquatpitch/admission/workspace-index.h
+++ b/include/kumquatpitch/admission/workspace-index.h
@@ -44,6 +44,9 @@
   /// The workspace of that name; null if there is none.
   const WorkspaceSettings *find(const WorkspaceName &Name) const;
 
+  /// The workspaces that have a limit, by name.
+  std::vector<const WorkspaceSettings *> limited() const;
+
   /// What the configuration states twice, one short sentence each, without
   /// keys; at most MaxProblems.
   const std::vector<std::string> &problems() const { return Problems_; }
--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -9,6 +9,7 @@
 
 #include "kumquatpitch/admission/admission-control.h"
 #include "kumquatpitch/admission/fair-order.h"
+#include "kumquatpitch/admission/workspace-limits.h"
 #include "kumquatpitch/attempt-outcome.h"
 #include "kumquatpitch/gateway-refusal.h"
 #include "kumquatpitch/queue-wait.h"
@@ -72,6 +73,8 @@
   bool HasResendPaid_ = false; ///< A resend was taken from the budget and has
                                ///< not been sent yet.
   bool IsQueued_ = false;      ///< Waits for a free slot at a target.
+  std::optional<TokenTicket> Ticket_; ///< Set while it waits for a token.
+  std::optional<LimitToken> Token_;   ///< Of its workspace's limit.
 };
 
 /// An attempt that the caller of GatewayCore has to start now.
@@ -86,7 +89,8 @@
   bool operator==(const GatewayAttempt &) const = default;
 };
 
-/// The request was queued until a target has a free slot.
+/// The request was queued until a target has a free slot, or waits for a token
+/// of its workspace's limit.
 struct QueuedForTarget {
   bool operator==(const QueuedForTarget &) const = default;
 };
@@ -134,6 +138,9 @@
   /// Decides who sent a request and whether it may run.
   AdmissionControl &admission() { return Admission_; }
 
+  /// Decides whether a request lies within its workspace's limit.
+  WorkspaceLimits &limits() { return Limits_; }
+
   bool hasTable() const { return Table_ != nullptr; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
 
@@ -228,6 +235,12 @@
     return endsBeforeStop(Request) &&
            Admission_.mayRun(Request.Caller_, *Table_, Now);
   }
+  LimitDecision decideLimit(const CallerIdentity &Caller, TimePoint Now);
+  static void setLimit(GatewayRequest &Request, const LimitDecision &Decision);
+  Placement awaitToken(const std::shared_ptr<GatewayRequest> &Request);
+  PlacedRequests endTokenWaits(TimePoint Now);
+  void cancelTokenWait(GatewayRequest &Request);
+  void giveTokenBack(const GatewayRequest &Request, TimePoint Now);
   ResendLimits resendLimits(const ServiceName &Name) const;
   Duration meanLatency(const VirtualRoute &Route) const;
   Duration expectedLatency(const VirtualRoute &Route) const;
@@ -260,6 +273,9 @@
 
   GatewayOptions Options_;
   AdmissionControl Admission_;
+  WorkspaceLimits Limits_;
+  /// Requests that wait for a token, by ticket.
+  std::map<std::uint64_t, std::shared_ptr<GatewayRequest>> TokenWaits_;
   RandomSource &Random_;
   /// This host's share of the fleet's resend slack, for the services whose
   /// callers are given this host.
--- a/include/kumquatpitch/gateway-daemon.h
+++ b/include/kumquatpitch/gateway-daemon.h
@@ -10,6 +10,7 @@
 #include "kumquatpitch/gateway-platform.h"
 #include "kumquatpitch/gateway-settings.h"
 #include "kumquatpitch/host-membership.h"
+#include "kumquatpitch/limit-exchange.h"
 #include "kumquatpitch/peer-channel.h"
 #include "kumquatpitch/peer-reports.h"
 #include "kumquatpitch/stop-schedule.h"
@@ -84,6 +85,7 @@
   asio::ip::udp::socket Datagrams_;
   PeerChannel Peers_;
   PeerReports Reports_;
+  std::unique_ptr<LimitExchange> Limits_; ///< Null where no limits are kept.
   ConfigProofUpdater ConfigProof_;
   asio::ip::udp::endpoint Sender_;
   std::array<char, 2'048> DatagramBuffer_;
--- a/src/admission/workspace-index.cc
+++ b/src/admission/workspace-index.cc
@@ -47,6 +47,14 @@
   return It == ByName_.end() ? nullptr : &It->second;
 }
 
+std::vector<const WorkspaceSettings *> WorkspaceIndex::limited() const {
+  std::vector<const WorkspaceSettings *> Limited;
+  for (const std::pair<const WorkspaceName, WorkspaceSettings> &Entry : ByName_)
+    if (Entry.second.hasLimit())
+      Limited.push_back(&Entry.second);
+  return Limited;
+}
+
 void WorkspaceIndex::addProblem(std::string Text) {
   if (Problems_.size() < MaxProblems)
     Problems_.push_back(std::move(Text));
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -45,9 +45,6 @@
 /// The rest is a margin for hosts whose views of the fleet differ.
 constexpr double CallerHostsSlack = 0.6;
 constexpr double OtherHostsSlack = 0.25;
-/// Services with fewer recent requests than this are not reported to other
-/// hosts: the counts are too small to show whether the floor is at risk.
-constexpr double MinReportedRequests = 0.5;
 
 /// Until when the request's response meets the route's latency objective; its
 /// deadline when the route has none or the deadline comes first.
@@ -98,8 +95,13 @@
       Admission_.identify(*Table_, *Route, Head.Credential_, Now);
   if (const GatewayRefusal *Refusal = std::get_if<GatewayRefusal>(&Caller))
     return *Refusal;
+  const LimitDecision Limit =
+      decideLimit(std::get<CallerIdentity>(Caller), Now);
+  if (const GatewayRefusal *Refusal = std::get_if<GatewayRefusal>(&Limit))
+    return *Refusal;
   const std::shared_ptr<GatewayRequest> Request =
       std::make_shared<GatewayRequest>();
+  setLimit(*Request, Limit);
   Request->Caller_ = std::get<CallerIdentity>(Caller);
   Request->Priority_ = priorityOf(*Table_, *Route, Request->Caller_);
   Request->Weight_ = weightOf(*Table_, Request->Caller_);
@@ -275,6 +277,8 @@
 
 Placement GatewayCore::place(const std::shared_ptr<GatewayRequest> &Request,
                              TimePoint Now) {
+  if (Request->Ticket_)
+    return awaitToken(Request);
   ServiceState &State = findOrCreateService(Request->Service_);
   // Requests that are already queued are placed before a new one.
   Placement Result = State.Queue_.empty() ? tryToPlace(*Request, State, Now)
@@ -395,13 +399,14 @@
 }
 
 GatewayCore::PlacedRequests GatewayCore::placeQueuedRequests(TimePoint Now) {
-  PlacedRequests Placed;
+  PlacedRequests Placed = endTokenWaits(Now);
   for (std::pair<const ServiceName, ServiceState> &Service : Services_)
     drainQueue(Service.second, Now, Placed);
   return Placed;
 }
 
 void GatewayCore::removeFromQueue(GatewayRequest &Request, TimePoint Now) {
+  cancelTokenWait(Request);
   if (!Request.IsQueued_)
     return;
   Request.IsQueued_ = false;
@@ -520,56 +525,12 @@
 void GatewayCore::requestEnded(const GatewayRequest &Request, bool Served,
                                TimePoint Now) {
   ServiceState &State = findOrCreateService(Request.Service_);
-  if (Served || !Request.IsLostTrial_)
+  // A request beyond its workspace's limit says nothing about the targets.
+  if (Request.Token_ && (Served || !Request.IsLostTrial_))
     State.Balancer_.requestEnded(Served, Now);
   if (Request.HasResendPaid_)
     State.Budget_.refund(Now);
-}
-
-std::map<ServiceName, RequestOutcomeCounts>
-GatewayCore::outcomeCounts(TimePoint Now) const {
-  std::map<ServiceName, RequestOutcomeCounts> CountsByService;
-  for (const std::pair<const ServiceName, ServiceState> &Service : Services_) {
-    const RequestOutcomeCounts Counts =
-        Service.second.Balancer_.outcomeCounts(Now);
-    if (Counts.Ended_ >= MinReportedRequests)
-      CountsByService[Service.first] = Counts;
-  }
-  return CountsByService;
-}
-
-void GatewayCore::recordPeerOutcomes(const HostId &From,
-                                     const ServiceName &Name,
-                                     const RequestOutcomeCounts &Counts,
-                                     TimePoint Now) {
-  const std::map<ServiceName, ServiceState>::iterator It = Services_.find(Name);
-  if (It != Services_.end())
-    It->second.Balancer_.recordPeerOutcomes(From, Counts, Now);
-}
-
-std::vector<NamedRateLimit> GatewayCore::takeRateLimitUpdates(TimePoint Now) {
-  std::vector<NamedRateLimit> Updates;
-  for (std::pair<const ServiceName, ServiceState> &Service : Services_)
-    std::ranges::move(Service.second.Balancer_.takeRateLimitUpdates(Now),
-                      std::back_inserter(Updates));
-  return Updates;
-}
-
-bool GatewayCore::recordPeerRateLimit(const NamedRateLimit &Limit,
-                                      TimePoint Now) {
-  const std::map<ServiceName, ServiceState>::iterator It =
-      Services_.find(Limit.Service_);
-  return It != Services_.end() &&
-         It->second.Balancer_.recordPeerRateLimit(Limit, Now);
-}
-
-void GatewayCore::applyPeerObservation(const ServiceName &Name,
-                                       const TargetId &Id,
-                                       TargetObservation Observation,
-                                       TimePoint Now) {
-  const std::map<ServiceName, ServiceState>::iterator It = Services_.find(Name);
-  if (It != Services_.end())
-    It->second.Balancer_.applyPeerObservation(Id, Observation, Now);
+  giveTokenBack(Request, Now);
 }
 
 std::string GatewayCore::describeQueue(const ServiceName &Name,
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -163,6 +163,11 @@
       ConfigProof_(ConfigProofDependencies{Settings_.KeyRevocationTime_,
                                            Core_.admission(), Log_, Metrics_}),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
+  if (Settings_.LimitWindow_ > Duration::zero())
+    Limits_ = std::make_unique<LimitExchange>(
+        LimitExchangeDependencies{Context_, Timers_, Core_, Front_, Membership_,
+                                  Peers_, Log_, Metrics_},
+        Settings_);
   const MemoryShares Shares(Settings_.MemoryBytes_);
   TargetClient_.setMaxBufferedBytes(Shares.answers());
   FrontServer_.setMaxBufferedBytes(Shares.requestBodies());
@@ -278,7 +283,7 @@
   else if (const StoreChangesMessage *Changes =
                std::get_if<StoreChangesMessage>(&*Datagram))
     apply(Follower_.receive(*Changes, Now));
-  else
+  else if (!Limits_ || !Limits_->receive(*Datagram))
     Reports_.receive(*Datagram, SenderAddress, Follower_.directory().entries());
 }
 
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -116,6 +116,8 @@
     if (!std::holds_alternative<QueuedForTarget>(Decision))
       return applyPlacement(Decision);
     Front_.Waiting_.emplace(Request_.get(), shared_from_this());
+    if (Request_->Ticket_)
+      return;
     const TargetBalancer *Targets =
         Dependencies_.Core_.balancer(Request_->Service_);
     Dependencies_.Log_.write(
