TargetBalancer: choose targets by expected work, off by default

Cause: two targets with equally many requests are free at very different times when short and long ones are mixed, a long answer made its target look slow, and an old report of a target's load was taken as if its slots had since been busy to the end.

Change: with `[balancing] choice = auto`, for services that take uploads and for all where callers have workspaces, the target with the earliest expected completion is chosen. Own requests count by what they need yet, other hosts' reports fall towards the mean of all targets with their age. Silence, hedging, expected wait and early failures go by the expected work of the request. The default is by count as before. Rate limits of targets and latencies move to files of their own. Predictions are counted and logged.

--- a/include/kumquatpitch/gateway-core.h
+++ b/include/kumquatpitch/gateway-core.h
@@ -10,6 +10,8 @@
 #include "kumquatpitch/admission/admission-control.h"
 #include "kumquatpitch/admission/fair-order.h"
 #include "kumquatpitch/attempt-outcome.h"
+#include "kumquatpitch/balancing/cost-model.h"
+#include "kumquatpitch/balancing/prediction-log.h"
 #include "kumquatpitch/gateway-refusal.h"
 #include "kumquatpitch/queue-wait.h"
 #include "kumquatpitch/random-source.h"
@@ -37,6 +39,9 @@
   double ResendSlack_ = 0;   ///< Resends beyond the ratio, fleet-wide.
   Duration ResendWindow_ = std::chrono::seconds(10);
   AdmissionOptions Admission_{};
+  /// Services are balanced by expected work where the configuration calls for
+  /// it; see work-scope.h.
+  bool MayBalanceByWork_ = true;
 
   bool operator==(const GatewayOptions &) const = default;
 };
@@ -47,6 +52,7 @@
   std::string Path_;                 ///< Without the query.
   std::optional<Duration> TimeLeft_; ///< Time to the caller's deadline.
   Credential Credential_{};          ///< Names the caller's workspace.
+  std::uint64_t BodyBytes_ = 0;      ///< Size of the body.
 
   bool operator==(const RequestHead &) const = default;
 };
@@ -59,6 +65,8 @@
   RequestPriority Priority_;
   double Weight_ = 1; ///< Of its workspace among those that wait.
   ServiceName Service_;
+  RequestTraits Traits_; ///< Empty where the service is balanced by count.
+  WorkEstimate Work_;    ///< Expected work; unknown there.
   TimePoint ArrivedAt_;
   TimePoint DeadlineAt_; ///< The caller's deadline or the route's
                          ///< timeout, whichever is earlier.
@@ -106,6 +114,9 @@
   GatewayRefusal Refusal_; ///< Set when Step_ is Fail.
   std::optional<TargetObservation>
       Observation_; ///< To broadcast to the other hosts.
+  /// How well the attempt's work was predicted, if it was and the target
+  /// answered.
+  std::optional<PredictedWork> Prediction_{};
 
   bool operator==(const GatewayDecision &) const = default;
 };
@@ -206,6 +217,8 @@
   /// The balancer of a service; null if the service is unknown.
   const TargetBalancer *balancer(const ServiceName &Name) const;
 
+  const CostModel &costs() const { return Costs_; }
+
 private:
   struct ServiceState {
     explicit ServiceState(const GatewayOptions &Options)
@@ -230,9 +243,15 @@
   }
   ResendLimits resendLimits(const ServiceName &Name) const;
   Duration meanLatency(const VirtualRoute &Route) const;
-  Duration expectedLatency(const VirtualRoute &Route) const;
-  Duration hedgeDelay(const VirtualRoute &Route) const;
+  Duration usualLatency(const GatewayRequest &Request) const;
+  Duration expectedLatency(const GatewayRequest &Request) const;
+  Duration hedgeDelay(const GatewayRequest &Request) const;
   void recordLatency(const VirtualRoute &Route, Duration Latency);
+  void estimateWork(GatewayRequest &Request, std::uint64_t BodyBytes);
+  std::optional<PredictedWork> learnWork(const GatewayRequest &Request,
+                                         AttemptOutcome Outcome,
+                                         AttemptEvidence Evidence,
+                                         std::optional<Duration> Work);
   AttemptEvidence classifyAttempt(const GatewayRequest &Request,
                                   const GatewayAttempt &Attempt,
                                   AttemptOutcome Outcome, TimePoint Now) const;
@@ -269,6 +288,8 @@
   std::shared_ptr<const RouteTable> Table_;
   std::map<ServiceName, ServiceState> Services_;
   RouteSplit Split_;
+  CostModel Costs_;
+  std::set<ServiceName> ServicesByWork_; ///< See work-scope.h.
   /// Moving average of each route's latency, in microseconds.
   std::map<std::string, double> Latencies_;
 };
--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -86,6 +86,7 @@
   std::map<const GatewayRequest *, std::shared_ptr<ActiveGatewayRequest>>
       Waiting_;
   bool RejectsNewRequests_ = false;
+  PredictionLog Predictions_;
 };
 
 } // namespace kumquatpitch
--- a/include/kumquatpitch/gateway-settings.h
+++ b/include/kumquatpitch/gateway-settings.h
@@ -52,6 +52,8 @@
   double LimitOverage_ = 0;
   double LimitSlack_ = 0;
   double LinkMbps_ = 0; ///< Speed of the host's network link; 0 if unknown.
+  /// Targets may be chosen by expected work; see work-scope.h.
+  bool MayBalanceByWork_ = false;
   LogLevel LogLevel_ = LogLevel::Info;
 
   bool operator==(const GatewaySettings &) const = default;
--- a/include/kumquatpitch/routing-config.h
+++ b/include/kumquatpitch/routing-config.h
@@ -33,6 +33,7 @@
   AtMostOnce, ///< A request must not run more than once.
   Idempotent, ///< A request may run more than once.
   Download,   ///< As Idempotent; its answers are large.
+  Upload,     ///< As AtMostOnce; its bodies are large.
 };
 
 /// Settings for the requests to one virtual host whose path has one prefix.
@@ -50,7 +51,9 @@
   bool IsPublic_ = false;      ///< Its requests need no key.
 
   /// True when requests may be executed more than once.
-  bool isIdempotent() const { return Kind_ != RouteKind::AtMostOnce; }
+  bool isIdempotent() const {
+    return Kind_ == RouteKind::Idempotent || Kind_ == RouteKind::Download;
+  }
 
   bool operator==(const VirtualRoute &) const = default;
 };
--- a/include/kumquatpitch/target-balancer.h
+++ b/include/kumquatpitch/target-balancer.h
@@ -1,6 +1,8 @@
 // Load balancing and outlier ejection for the targets of one service. A target
 // is chosen by the host's own requests in progress, the load that targets
-// report with their answers, latencies and failures. Failing targets are
+// report with their answers, latencies and failures; where the service is
+// balanced by work, by the work that is expected of the requests instead of
+// their number (see target-balancer-work.cc). Failing targets are
 // ejected until trial requests (half-open probes) to them succeed; the
 // service's floor is the share of targets that should stay in use. Driven by
 // GatewayCore. Does no I/O and reads no clock.
@@ -8,6 +10,7 @@
 #ifndef KUMQUATPITCH_TARGET_BALANCER_H
 #define KUMQUATPITCH_TARGET_BALANCER_H
 
+#include "kumquatpitch/balancing/own-attempts.h"
 #include "kumquatpitch/name.h"
 #include "kumquatpitch/random-source.h"
 #include "kumquatpitch/rate-limit-share.h"
@@ -77,6 +80,8 @@
   Duration TimeLeft_ = Duration::max();
   Duration Usual_{};          ///< Usual latency of this kind of request.
   bool IsLastResort_ = false; ///< Prefer an ejected target to none.
+  /// Expected work of the request; used where the service is balanced by work.
+  WorkEstimate Work_{};
 
   bool operator==(const PickConstraints &) const = default;
 };
@@ -103,6 +108,9 @@
   /// to an ejected target in turn, in an order that every host computes alike.
   void setAssignedHosts(std::vector<AssignedHost> Hosts, TimePoint Now);
 
+  /// Sets whether targets are chosen by expected work instead of by count.
+  void setBalancesByWork(bool ByWork) { ByWork_ = ByWork; }
+
   /// Picks an untried target whose rate limit allows a request of this host:
   /// one that is due for a trial request, otherwise the one with room and the
   /// lowest expected cost. Returns nothing when there is neither, unless
@@ -110,8 +118,16 @@
   std::optional<TargetPick> pick(const PickConstraints &Constraints,
                                  TimePoint Now, RandomSource &Random);
 
-  /// Records that an attempt was sent.
-  void attemptStarted(const TargetId &Id, TimePoint Now);
+  /// Records that an attempt was sent. `Work` is the expected work of its
+  /// request.
+  void attemptStarted(const TargetId &Id, TimePoint Now,
+                      const WorkEstimate &Work = WorkEstimate());
+
+  /// Work that an attempt in progress has got since its start: the time without
+  /// the expected wait at the target and without the target's slowness in
+  /// relation to the service's others. Empty for an unknown attempt.
+  std::optional<Duration> workDone(const TargetId &Id, TimePoint StartedAt,
+                                   TimePoint Now) const;
 
   /// Records the end of an attempt. `Usual` is the usual latency of requests of
   /// its kind, or 0 while it is unknown; `Report` is empty when the target did
@@ -172,7 +188,8 @@
   /// progress, those of other hosts, then `l` when leaving, `g` when another
   /// instance answers at its address, `r` when its rate limit allows no request
   /// of this host now, `e` when ejected, `p` on probation, `f` when it refused
-  /// as full, and `o` in the own failure domain.
+  /// as full, `o` in the own failure domain, and, where the service is balanced
+  /// by work, `w` with the expected wait there in milliseconds, if any.
   std::string describe(TimePoint Now) const;
 
   std::size_t size() const { return States_.size(); }
@@ -188,8 +205,8 @@
   struct State {
     TargetEntry Entry_;
     TimePoint KnownSince_;
-    std::multiset<TimePoint> Running_; ///< Start times of own attempts.
-    TimePoint SentAt_;                 ///< Start of the last own attempt.
+    OwnAttempts Running_;
+    TimePoint SentAt_;     ///< Start of the last own attempt.
     double PeerLoad_ = 0;  ///< Other hosts' requests there, by its last report.
     TimePoint PeerLoadAt_; ///< When the load was reported.
     TargetRateLimit RateLimit_;
@@ -230,6 +247,7 @@
     double UnservedShare_ = 0; ///< Of the service's recent requests.
     /// Fewer trials of unresponsive targets are in progress than may be.
     bool MayTryUnresponsive_ = true;
+    bool HasEjected_ = false; ///< Some target is ejected.
 
     bool mayTry(const State &Target) const {
       return MayTryUnresponsive_ || !Target.IsUnresponsive_;
@@ -237,6 +255,25 @@
   };
 
   double load(const State &Target, TimePoint Now) const;
+  double peerLoadByWork(const State &Target, TimePoint Now) const;
+  /// Expected wait for a slot at the target, in microseconds of work at a
+  /// target of usual speed.
+  double expectedWaitUs(const State &Target, double Load, double Slowness,
+                        TimePoint Now) const;
+  /// Expected time until the target would have completed the request, in means
+  /// of the service's work.
+  double completionTime(const State &Target, const WorkEstimate &Work,
+                        double Load, double Slowness, TimePoint Now) const;
+  /// Mean work of the service's requests, or its mean latency where it is
+  /// balanced by count.
+  double usualUs() const { return ByWork_ ? MeanWorkUs_ : MeanLatencyUs_; }
+  Duration expectedWait(const State &Target, TimePoint Now) const;
+  void recordExpectedWork(const WorkEstimate &Work);
+  static Duration runTime(const OwnAttempt &Attempt, TimePoint StartedAt,
+                          TimePoint Now);
+  void recordSpeed(State &Target, const std::optional<OwnAttempt> &Attempt,
+                   TimePoint StartedAt, Duration Usual, TimePoint Now);
+  void recordPeerLoad(State &Target, double Load, TimePoint Now);
   static double shedShare(const State &Target, TimePoint Now);
   static void recordShedding(State &Target, bool Refused, TimePoint Now);
   /// Latency factor of the target, decayed towards 1 and raised by a cold
@@ -264,12 +301,12 @@
   PickBasis pickBasis(TimePoint Now) const;
   const State *floorTrialTarget(const PickConstraints &Constraints,
                                 const PickBasis &Basis, TimePoint Now) const;
-  bool showsSilence(const State &Target, TimePoint StartedAt,
+  bool showsSilence(const State &Target, TimePoint StartedAt, double UsualUs,
                     TimePoint Now) const;
   void applyEvidence(State &Target, AttemptEvidence Evidence,
                      TimePoint StartedAt, TimePoint Now);
   bool isSilent(const State &Target, TimePoint Now) const;
-  bool hasRoom(const State &Target, TimePoint Now) const;
+  bool hasRoom(const State &Target, double Load, TimePoint Now) const;
   std::optional<TargetPick> pickLastResort(const PickConstraints &Constraints,
                                            TimePoint Now);
   bool isTrialDue(const State &Target, const PickConstraints &Constraints,
@@ -297,6 +334,14 @@
   std::map<TargetId, State> States_;
   /// Decayed mean latency. Samples below the mean weigh less, in proportion.
   double MeanLatencyUs_ = 200'000;
+  bool ByWork_ = false;
+  /// Decayed mean of the expected work of the attempts sent, all alike.
+  double MeanWorkUs_ = 200'000;
+  /// Decayed mean of the slowness of the targets that answered. Slowness that
+  /// all targets share is work.
+  double ServiceSlowness_ = 1;
+  /// Decayed mean of the other hosts' requests at a slot, by all reports.
+  double PeerLoadPerSlot_ = 0;
   TimePoint RetryablePickedAt_;      ///< Last pick for a retryable request.
   RequestOutcomeCounts OwnOutcomes_; ///< As of OwnOutcomesAt_.
   TimePoint OwnOutcomesAt_;
--- a/src/gateway-core.cc
+++ b/src/gateway-core.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/gateway-core.h"
 
+#include "kumquatpitch/balancing/work-scope.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,28 +19,12 @@
 constexpr std::uint32_t MaxFailedConnects = 3;
 /// Time reserved before the deadline for the response to reach the caller.
 constexpr Duration DeliveryTime = std::chrono::milliseconds(15);
-/// A failure this close to the deadline is attributed to the target's own time
-/// limit, not to a fault.
-constexpr Duration DeadlineMargin = std::chrono::milliseconds(50);
 /// Shortest remaining time in which a resend can still succeed.
 constexpr Duration MinResendTime = std::chrono::milliseconds(60);
-/// A hedged attempt starts after this multiple of the expected latency.
-constexpr double HedgeFactor = 3;
-/// Until a route's latency has been measured, it is estimated as the route's
-/// latency objective divided by this factor.
-constexpr double ObjectiveFactor = 3;
-/// Weight of a new sample in the moving average of a route's latency.
-constexpr double LatencyWeight = 0.05;
 /// Resends reserved for requests that fail unexpectedly: trials of ejected
 /// targets and hedged attempts need at least this much budget left.
 constexpr double TrialReserve = 2;
 constexpr double HedgeReserve = 3;
-/// A failure within this fraction of the expected latency came before the
-/// target did any work, as most gray failures do.
-constexpr double EarlyFailureFraction = 0.25;
-/// When that fraction is shorter than this, the time of a failure does not show
-/// whether it is a gray one.
-constexpr Duration MinEarlyFailureTime = std::chrono::milliseconds(20);
 /// Fractions of the fleet's resend slack. CallerHostsSlack is divided among the
 /// hosts that a service's callers are given; every other host gets an equal
 /// part of OtherHostsSlack, which is divided by the number of all live hosts.
@@ -67,11 +53,22 @@
 void GatewayCore::setTable(std::shared_ptr<const RouteTable> Table) {
   Table_ = std::move(Table);
   Split_.reset();
+  ServicesByWork_ = Table_ && Options_.MayBalanceByWork_
+                        ? servicesByWork(Table_->config())
+                        : std::set<ServiceName>();
+  for (std::pair<const ServiceName, ServiceState> &Service : Services_)
+    Service.second.Balancer_.setBalancesByWork(
+        ServicesByWork_.count(Service.first) > 0);
 }
 
 GatewayCore::ServiceState &
 GatewayCore::findOrCreateService(const ServiceName &Name) {
-  return Services_.try_emplace(Name, Options_).first->second;
+  const std::pair<std::map<ServiceName, ServiceState>::iterator, bool> Created =
+      Services_.try_emplace(Name, Options_);
+  if (Created.second)
+    Created.first->second.Balancer_.setBalancesByWork(
+        ServicesByWork_.count(Name) > 0);
+  return Created.first->second;
 }
 
 void GatewayCore::setTargets(const std::map<TargetId, TargetEntry> &Targets,
@@ -112,6 +109,7 @@
     TimeLeft = std::min(TimeLeft, *Head.TimeLeft_);
   Request->DeadlineAt_ = Now + TimeLeft;
   ServiceState &State = findOrCreateService(Request->Service_);
+  estimateWork(*Request, Head.BodyBytes_);
   State.Budget_.requestArrived(Now);
   State.Wait_.requestArrived(Request->Priority_, Now);
   return Request;
@@ -147,78 +145,13 @@
                       Options_.ResendSlack_ * Share, Options_.ResendWindow_};
 }
 
-Duration GatewayCore::meanLatency(const VirtualRoute &Route) const {
-  const std::map<std::string, double>::const_iterator It =
-      Latencies_.find(routeKey(Route));
-  return It == Latencies_.end()
-             ? Duration::zero()
-             : Duration(static_cast<Duration::rep>(It->second));
-}
-
-void GatewayCore::recordLatency(const VirtualRoute &Route, Duration Latency) {
-  const double Sample = static_cast<double>(Latency.count());
-  double &Mean = Latencies_.try_emplace(routeKey(Route), Sample).first->second;
-  Mean += (Sample - Mean) * LatencyWeight;
-}
-
-AttemptEvidence GatewayCore::classifyAttempt(const GatewayRequest &Request,
-                                             const GatewayAttempt &Attempt,
-                                             AttemptOutcome Outcome,
-                                             TimePoint Now) const {
-  switch (Outcome) {
-  case AttemptOutcome::Success:
-    return AttemptEvidence::Answered;
-  case AttemptOutcome::Failure: {
-    // The target stopped at the deadline that the request carried.
-    if (Request.DeadlineAt_ - Now < DeadlineMargin)
-      return AttemptEvidence::None;
-    const Duration EarlyFailureTime(static_cast<Duration::rep>(
-        EarlyFailureFraction *
-        static_cast<double>(expectedLatency(*Request.Route_).count())));
-    return EarlyFailureTime >= MinEarlyFailureTime &&
-                   Now - Attempt.StartedAt_ < EarlyFailureTime
-               ? AttemptEvidence::Failed
-               : AttemptEvidence::FailedLate;
-  }
-  case AttemptOutcome::Broken:
-    return AttemptEvidence::Failed;
-  case AttemptOutcome::Refused:
-    return AttemptEvidence::Refused;
-  case AttemptOutcome::OtherInstance:
-    return AttemptEvidence::Gone;
-  case AttemptOutcome::NotConnected:
-    return AttemptEvidence::Unreachable;
-  case AttemptOutcome::TimedOut:
-    return AttemptEvidence::Silent;
-  case AttemptOutcome::Cancelled:
-    return AttemptEvidence::None;
-  }
-  return AttemptEvidence::None;
-}
-
-/// The mean latency of the route, or an estimate from its latency objective
-/// until one is measured. Without the estimate, a host that has just started
-/// would classify the first failures of gray targets as ordinary late failures.
-Duration GatewayCore::expectedLatency(const VirtualRoute &Route) const {
-  const Duration Mean = meanLatency(Route);
-  return Mean.count() > 0 ? Mean
-                          : Duration(static_cast<Duration::rep>(
-                                static_cast<double>(Route.Objective_.count()) /
-                                ObjectiveFactor));
-}
-
-Duration GatewayCore::hedgeDelay(const VirtualRoute &Route) const {
-  return Duration(static_cast<Duration::rep>(
-      HedgeFactor * static_cast<double>(expectedLatency(Route).count())));
-}
-
 GatewayAttempt GatewayCore::startAttempt(GatewayRequest &Request,
                                          ServiceState &State,
                                          const TargetPick &Pick, bool IsResend,
                                          TimePoint Now) {
   GatewayAttempt Attempt{Pick.Target_, Now, Pick.IsTrial_, IsResend,
                          std::nullopt};
-  State.Balancer_.attemptStarted(Pick.Target_.Id_, Now);
+  State.Balancer_.attemptStarted(Pick.Target_.Id_, Now, Request.Work_);
   State.Wait_.attemptStarted(State.Queue_.empty(), Now);
   State.Order_.started(Request.Caller_.Workspace_, Request.Weight_);
   Request.HasResendPaid_ = false;
@@ -226,7 +159,7 @@
   ++Request.InProgress_;
   if (Request.Route_->isIdempotent() && !Request.IsHedged_ &&
       Request.Route_->MaxTargets_ > Request.Sent_ + Request.InProgress_)
-    Attempt.HedgeAt_ = Now + hedgeDelay(*Request.Route_);
+    Attempt.HedgeAt_ = Now + hedgeDelay(Request);
   return Attempt;
 }
 
@@ -241,7 +174,8 @@
       State.Budget_.available(resendLimits(Request.Service_), Now) >=
           TrialReserve;
   Constraints.TimeLeft_ = Request.DeadlineAt_ - Now;
-  Constraints.Usual_ = meanLatency(*Request.Route_);
+  Constraints.Usual_ = usualLatency(Request);
+  Constraints.Work_ = Request.Work_;
   return Constraints;
 }
 
@@ -316,8 +250,7 @@
                                     const ServiceState &State,
                                     std::size_t Ahead, double Rate,
                                     TimePoint Now) const {
-  const VirtualRoute &Route = *Request.Route_;
-  const Duration Latency = expectedLatency(Route);
+  const Duration Latency = expectedLatency(Request);
   const QueuePosition Position{Ahead, Request.Priority_, false};
   if (State.Wait_.expectedWait(Position, Rate, Now) <=
       objectiveAt(Request) - Latency - Now)
@@ -334,7 +267,7 @@
   Order.reserve(State.Queue_.size());
   for (const std::shared_ptr<GatewayRequest> &Request : State.Queue_) {
     const TimePoint ObjectiveAt = objectiveAt(*Request);
-    const bool IsLate = Now + meanLatency(*Request->Route_) > ObjectiveAt;
+    const bool IsLate = Now + usualLatency(*Request) > ObjectiveAt;
     Order.push_back(QueuedRequest{Order.size(), IsLate, Request->Priority_,
                                   IsLate ? Request->DeadlineAt_ : ObjectiveAt,
                                   Request->Caller_.Workspace_,
@@ -439,6 +372,8 @@
                                           TimePoint Now) {
   --Request.InProgress_;
   TargetBalancer &Balancer = findOrCreateService(Request.Service_).Balancer_;
+  const std::optional<Duration> Work =
+      Balancer.workDone(Attempt.Target_.Id_, Attempt.StartedAt_, Now);
   const AttemptEvidence Evidence =
       Balancer.attemptEnded(Attempt.Target_.Id_, Attempt.StartedAt_,
                             classifyAttempt(Request, Attempt, Outcome, Now),
@@ -458,6 +393,7 @@
       Outcome == AttemptOutcome::Success
           ? GatewayDecision{GatewayStep::Deliver, {}, std::nullopt}
           : decideAfterFailure(Request, Outcome, Now);
+  Next.Prediction_ = learnWork(Request, Outcome, Evidence, Work);
   // A target that is unreachable or silent from here may be healthy: the fault
   // may lie in the network path from this host.
   if (Evidence == AttemptEvidence::FailedLate ||
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -27,7 +27,6 @@
 /// Longest wait of a watch for changes. It rarely runs out, because some change
 /// is published almost all the time.
 constexpr Duration WatchTimeout = std::chrono::milliseconds(200);
-
 /// How long requests that were received when the daemon ends are still handled.
 constexpr Duration FinalRunTime = std::chrono::milliseconds(100);
 
@@ -59,7 +58,8 @@
                         Settings.ResendRatio_,
                         Settings.ResendSlack_,
                         Settings.ResendWindow_,
-                        AdmissionOptions{Settings.KeyRevocationTime_}};
+                        AdmissionOptions{Settings.KeyRevocationTime_},
+                        Settings.MayBalanceByWork_};
 }
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &Endpoints) {
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -101,6 +101,7 @@
       Head.Host_ = withoutPort(*Host);
     Head.Path_ = Message.Target_.substr(0, Message.Target_.find('?'));
     Head.Credential_ = credentialOf(Message.Headers_);
+    Head.BodyBytes_ = Message.Body_.size();
     if (const std::string *TimeLeft =
             Message.header(Dependencies_.Headers_.DeadlineMs_))
       if (const std::optional<std::int64_t> Ms =
@@ -263,6 +264,7 @@
       Dependencies_.EvidenceSink_.broadcastEvidence(Attempt.Target_,
                                                     *Next.Observation_);
     recordAttempt(Attempt, Outcome, Result);
+    recordPrediction(Next, Now);
     switch (Next.Step_) {
     case GatewayStep::Deliver:
       deliver(std::move(Result.Answer_), Outcome);
@@ -279,6 +281,14 @@
     Front_.resumeWaitingRequests();
   }
 
+  void recordPrediction(const GatewayDecision &Decision, TimePoint Now) {
+    if (!Decision.Prediction_)
+      return;
+    Front_.Predictions_.record(*Decision.Prediction_, Id_,
+                               Request_->Traits_.Route_, Now);
+    Front_.Predictions_.summarize(Dependencies_.Core_.costs(), Now);
+  }
+
   /// The report of an answer that the target itself gave; empty for any other.
   TargetReport reportOf(const GatewayAttempt &Attempt, AttemptOutcome Outcome,
                         const HttpMessage &Answer) const {
@@ -502,7 +512,8 @@
 };
 
 GatewayFront::GatewayFront(GatewayDependencies Dependencies)
-    : Dependencies_(std::move(Dependencies)) {
+    : Dependencies_(std::move(Dependencies)),
+      Predictions_(Dependencies_.Log_, Dependencies_.Metrics_) {
   ResumeSubscription_ =
       Dependencies_.Timers_.subscribe(ResumePeriod, [this](TimePoint) {
         if (!Waiting_.empty())
--- a/src/gateway-settings.cc
+++ b/src/gateway-settings.cc
@@ -70,6 +70,12 @@
   Settings.LimitOverage_ = Reader.decimal("terms", "limit_overage", 0, 1, 0);
   Settings.LimitSlack_ = Reader.decimal("terms", "limit_slack", 0, MaxSlack, 0);
   Settings.LinkMbps_ = Reader.decimal("host", "link_mbps", 0, MaxLinkMbps, 0);
+  const std::string Choice =
+      Reader.extractValue("balancing", "choice", false).value_or("count");
+  if (Choice != "auto" && Choice != "count")
+    Reader.reject(SettingsEntry{"balancing", "choice", Choice},
+                  "must be auto or count");
+  Settings.MayBalanceByWork_ = Choice == "auto";
   Settings.LogLevel_ = Reader.level("log", "level");
   return Settings;
 }
--- a/src/target-balancer-trials.cc
+++ b/src/target-balancer-trials.cc
@@ -212,6 +212,8 @@
 const TargetBalancer::State *
 TargetBalancer::floorTrialTarget(const PickConstraints &Constraints,
                                  const PickBasis &Basis, TimePoint Now) const {
+  if (!Basis.HasEjected_)
+    return nullptr;
   const Duration Delay =
       mayBeTrial(Constraints, Now) ? Duration::zero() : NonRetryableFloorDelay;
   const bool IsAtRisk = Basis.UnservedShare_ >= AtRiskUnservedShare;
@@ -266,12 +268,13 @@
 bool TargetBalancer::isTrialDue(const State &Target,
                                 const PickConstraints &Constraints,
                                 const PickBasis &Basis, TimePoint Now) const {
+  if (!Target.Ejected_ || Target.OnTrial_ || !Basis.mayTry(Target))
+    return false;
   const double Pause =
       toSeconds(trialPause(Target, Constraints.IsRetryable_, Now) +
                 turnDelay(Target)) *
       (HasWaitingRequests_ ? WaitingRequestsPauseFactor : 1);
-  if (!Target.Ejected_ || Target.OnTrial_ || !Basis.mayTry(Target) ||
-      toSeconds(Now - Target.LastResultAt_) < Pause)
+  if (toSeconds(Now - Target.LastResultAt_) < Pause)
     return false;
   return areAllEjected(Now) || mayBeTrial(Constraints, Now);
 }
@@ -282,14 +285,18 @@
 /// A trial that succeeds doubles the number that may be in progress at once, so
 /// that all are in use again soon after the cause has ended.
 TargetBalancer::PickBasis TargetBalancer::pickBasis(TimePoint Now) const {
+  bool HasEjected = false;
   const std::ptrdiff_t InProgress =
       std::count_if(States_.begin(), States_.end(),
-                    [](const std::pair<const TargetId, State> &Entry) {
+                    [&](const std::pair<const TargetId, State> &Entry) {
+                      HasEjected |= Entry.second.Ejected_;
                       return Entry.second.Ejected_ && Entry.second.OnTrial_ &&
                              Entry.second.IsUnresponsive_;
                     });
-  return PickBasis{unservedShare(Now), static_cast<std::size_t>(InProgress) <
-                                           MaxUnresponsiveTrials_};
+  return PickBasis{unservedShare(Now),
+                   static_cast<std::size_t>(InProgress) <
+                       MaxUnresponsiveTrials_,
+                   HasEjected};
 }
 
 void TargetBalancer::recordTrialOfUnresponsive(bool Succeeded) {
--- a/src/target-balancer.cc
+++ b/src/target-balancer.cc
@@ -9,10 +9,8 @@
 
 namespace {
 
-/// Weight of a new sample in the decayed mean latency, and in the slowness of a
-/// target.
+/// Weight of a new sample in the decayed mean latency.
 constexpr double MeanLatencyWeight = 0.03;
-constexpr double SlownessWeight = 0.2;
 /// A reported load of other hosts' requests is ignored after this time.
 constexpr double PeerLoadMaxAgeSeconds = 3;
 /// Time in which a target's measured slowness loses two thirds of its effect,
@@ -101,6 +99,8 @@
 double TargetBalancer::load(const State &Target, TimePoint Now) const {
   const double Age = toSeconds(Now - Target.PeerLoadAt_);
   const double Own = static_cast<double>(Target.Running_.size());
+  if (ByWork_)
+    return Own + peerLoadByWork(Target, Now);
   if (Age > PeerLoadMaxAgeSeconds)
     return Own;
   // The target has completed requests since the report. Requests that other
@@ -149,16 +149,21 @@
 bool TargetBalancer::isSilent(const State &Target, TimePoint Now) const {
   if (Target.Running_.empty())
     return false;
+  if (ByWork_)
+    return Target.Running_.isOverdue(SilentFactor, MinSilence,
+                                     Target.AnsweredAt_, Now);
   const Duration Limit = std::max(
       MinSilence,
       Duration(static_cast<Duration::rep>(MeanLatencyUs_ * SilentFactor)));
-  return Now - std::max(*Target.Running_.begin(), Target.AnsweredAt_) > Limit;
+  return Now - std::max(Target.Running_.oldestStart(), Target.AnsweredAt_) >
+         Limit;
 }
 
-bool TargetBalancer::hasRoom(const State &Target, TimePoint Now) const {
-  return load(Target, Now) < Target.Entry_.Slots_ +
-                                 (HasWaitingRequests_ ? MaxWaitingAtBusyTarget
-                                                      : MaxWaitingAtTarget) &&
+bool TargetBalancer::hasRoom(const State &Target, double Load,
+                             TimePoint Now) const {
+  return Load < Target.Entry_.Slots_ + (HasWaitingRequests_
+                                            ? MaxWaitingAtBusyTarget
+                                            : MaxWaitingAtTarget) &&
          Now >= Target.RefusingUntil_;
 }
 
@@ -194,7 +199,10 @@
             : Target.Failures_ > 0                  ? "p"
             : Now < Target.RefusingUntil_           ? "f"
                                                     : "";
-    Text += Target.Entry_.Domain_ == OwnDomain_ ? "o " : " ";
+    Text += Target.Entry_.Domain_ == OwnDomain_ ? "o" : "";
+    const std::int64_t WaitMs =
+        ByWork_ ? toMilliseconds(expectedWait(Target, Now)) : 0;
+    Text += WaitMs > 0 ? "w" + std::to_string(WaitMs) + " " : " ";
   }
   return Text;
 }
@@ -212,7 +220,7 @@
   constexpr double MicrosecondsPerSecond = 1e6;
   const double BySlots = Target.Entry_.Slots_ / slowness(Target, Now) *
                          (Target.Ejected_ ? servedShare(Target) : 1) *
-                         MicrosecondsPerSecond / MeanLatencyUs_;
+                         MicrosecondsPerSecond / usualUs();
   // The hosts have equal parts of what the slots serve, but not of a limit.
   const double ByLimit =
       Target.RateLimit_.ownPerSecond(Now) *
@@ -245,14 +253,21 @@
       Trial = &Target;
     const bool IsUseful =
         HasWaitingRequests_ && servedShare(Target) >= MinUsefulServedShare;
-    if (!hasRoom(Target, Now) || (Target.Ejected_ && !IsUseful))
+    const double Load = load(Target, Now);
+    if (!hasRoom(Target, Load, Now) || (Target.Ejected_ && !IsUseful))
       continue;
     const double Slowness = slowness(Target, Now);
     if (static_cast<double>(Constraints.Usual_.count()) * Slowness >
         static_cast<double>(Constraints.TimeLeft_.count()) *
             DeadlineSlackFactor)
       continue;
-    double Cost = expectedTime(Target, Now) + ShedCost * shedShare(Target, Now);
+    double Cost = (ByWork_ ? completionTime(Target, Constraints.Work_, Load,
+                                            Slowness, Now)
+                           : expectedTime(Target, Now)) +
+                  ShedCost * shedShare(Target, Now);
+    // What follows lowers the cost by no more than the bonus.
+    if (ByWork_ && Best && BestCost >= 0 && Cost - IdleBonus > BestCost)
+      continue;
     if (Target.Entry_.Domain_ != OwnDomain_)
       Cost += CrossDomainCost;
     if (Target.Failures_ > 0 && !Target.Running_.empty())
@@ -287,7 +302,7 @@
   const State *Best = nullptr;
   for (const std::pair<const TargetId, State> &Entry : States_)
     if (Entry.second.Ejected_ && !Entry.second.isUnavailable(Now) &&
-        hasRoom(Entry.second, Now) &&
+        hasRoom(Entry.second, load(Entry.second, Now), Now) &&
         Entry.second.RateLimit_.allowsAttempt(Now) &&
         !Constraints.Tried_.count(Entry.first) &&
         (!Best || Entry.second.FailedAt_ < Best->FailedAt_))
@@ -297,11 +312,17 @@
   return TargetPick{Best->Entry_, false};
 }
 
-void TargetBalancer::attemptStarted(const TargetId &Id, TimePoint Now) {
+void TargetBalancer::attemptStarted(const TargetId &Id, TimePoint Now,
+                                    const WorkEstimate &Work) {
   const std::map<TargetId, State>::iterator It = States_.find(Id);
   if (It == States_.end())
     return;
-  It->second.Running_.insert(Now);
+  Duration Wait{};
+  if (Work.isKnown()) {
+    Wait = expectedWait(It->second, Now);
+    recordExpectedWork(Work);
+  }
+  It->second.Running_.started(Now, Wait, Work);
   It->second.SentAt_ = Now;
   It->second.RateLimit_.attemptStarted(Now);
 }
@@ -314,10 +335,8 @@
   if (It == States_.end())
     return Evidence;
   State &Target = It->second;
-  const std::multiset<TimePoint>::iterator Attempt =
-      Target.Running_.find(StartedAt);
-  if (Attempt != Target.Running_.end())
-    Target.Running_.erase(Attempt);
+  const std::optional<OwnAttempt> Attempt = Target.Running_.find(StartedAt);
+  Target.Running_.ended(StartedAt);
   if (Target.OnTrial_ && Target.IsUnresponsive_ &&
       Evidence != AttemptEvidence::None)
     recordTrialOfUnresponsive(Evidence == AttemptEvidence::Answered);
@@ -329,9 +348,10 @@
   const std::optional<ReportedLoad> &Load = Report.Load_;
   if (Load) {
     const double Total = Load->Running_ + Load->Waiting_;
-    Target.PeerLoad_ =
-        std::max(0.0, Total - static_cast<double>(Target.Running_.size()));
-    Target.PeerLoadAt_ = Now;
+    recordPeerLoad(
+        Target,
+        std::max(0.0, Total - static_cast<double>(Target.Running_.size())),
+        Now);
   }
   if (Report.RateLimit_) {
     const bool WasLimited = Target.RateLimit_.perSecond(Now) != NoRateLimit;
@@ -343,12 +363,8 @@
     const double Latency = static_cast<double>((Now - StartedAt).count());
     MeanLatencyUs_ += (Latency - MeanLatencyUs_) * MeanLatencyWeight *
                       std::min(1.0, Latency / MeanLatencyUs_);
-    if (Usual.count() > 0) {
-      const double Sample = Latency / static_cast<double>(Usual.count());
-      const double Before = slowness(Target, Now);
-      Target.Slowness_ = Before + (Sample - Before) * SlownessWeight;
-      Target.SlownessAt_ = Now;
-    }
+    if (Usual.count() > 0)
+      recordSpeed(Target, Attempt, StartedAt, Usual, Now);
   }
   const bool HadFreeSlot =
       Load && Load->Waiting_ == 0 && Load->Running_ < Target.Entry_.Slots_;
@@ -359,22 +375,26 @@
   else if (Evidence == AttemptEvidence::Answered ||
            Evidence == AttemptEvidence::FailedLate)
     recordShedding(Target, false, Now);
+  const double UsualUs =
+      Attempt && Attempt->Work_.isKnown()
+          ? static_cast<double>(Attempt->Work_.mean().count())
+          : MeanLatencyUs_;
   if (Evidence == AttemptEvidence::Silent &&
-      !showsSilence(Target, StartedAt, Now))
+      !showsSilence(Target, StartedAt, UsualUs, Now))
     return AttemptEvidence::None;
   applyEvidence(Target, Evidence, StartedAt, Now);
   return Evidence;
 }
 
 /// A target that has answered other requests meanwhile is slow or full, not
-/// failed. An attempt of less than twice the mean latency, or of less than
+/// failed. An attempt of less than twice the usual latency, or of less than
 /// MinSilence, was too short to tell.
 bool TargetBalancer::showsSilence(const State &Target, TimePoint StartedAt,
-                                  TimePoint Now) const {
+                                  double UsualUs, TimePoint Now) const {
   return Target.AnsweredAt_ <= StartedAt &&
          Now - StartedAt >=
              std::max(MinSilence,
-                      Duration(static_cast<Duration::rep>(MeanLatencyUs_ * 2)));
+                      Duration(static_cast<Duration::rep>(UsualUs * 2)));
 }
 
 void TargetBalancer::applyEvidence(State &Target, AttemptEvidence Evidence,
@@ -444,56 +464,6 @@
   return It != States_.end() && It->second.Ejected_;
 }
 
-double TargetBalancer::rateLimit(const TargetId &Id, TimePoint Now) const {
-  const std::map<TargetId, State>::const_iterator It = States_.find(Id);
-  return It == States_.end() ? NoRateLimit
-                             : It->second.RateLimit_.perSecond(Now);
-}
-
-std::vector<NamedRateLimit>
-TargetBalancer::takeRateLimitUpdates(TimePoint Now) {
-  updateRateLimitShares(Now);
-  std::vector<NamedRateLimit> Updates;
-  for (std::pair<const TargetId, State> &Entry : States_) {
-    State &Target = Entry.second;
-    if (const std::optional<Duration> Age = Target.RateLimit_.takeUpdate(Now))
-      Updates.push_back(NamedRateLimit{Target.Entry_.Service_, Entry.first,
-                                       Target.Entry_.StartedUnixMs_,
-                                       Target.RateLimit_.perSecond(Now), *Age});
-  }
-  return Updates;
-}
-
-bool TargetBalancer::recordPeerRateLimit(const NamedRateLimit &Limit,
-                                         TimePoint Now) {
-  const std::map<TargetId, State>::iterator It = States_.find(Limit.Target_);
-  if (It == States_.end() ||
-      It->second.Entry_.StartedUnixMs_ != Limit.StartedUnixMs_)
-    return false;
-  TargetRateLimit &Known = It->second.RateLimit_;
-  const double Before = Known.perSecond(Now);
-  Known.recordPeer(Limit.PerSecond_, Limit.Age_, Now);
-  if (Before == NoRateLimit)
-    updateRateLimitShare(It->second, Demand_.weights(OwnId_, Now), Now);
-  return Known.perSecond(Now) != Before;
-}
-
-void TargetBalancer::updateRateLimitShares(TimePoint Now) {
-  Demand_.record(OwnId_, outcomeCounts(Now).Ended_, Now);
-  const std::vector<HostWeight> Weights = Demand_.weights(OwnId_, Now);
-  for (std::pair<const TargetId, State> &Entry : States_)
-    updateRateLimitShare(Entry.second, Weights, Now);
-}
-
-void TargetBalancer::updateRateLimitShare(
-    State &Target, const std::vector<HostWeight> &Weights,
-    TimePoint Now) const {
-  const double PerSecond = Target.RateLimit_.perSecond(Now);
-  if (PerSecond != NoRateLimit)
-    Target.RateLimit_.setShare(
-        shareOfRateLimit(PerSecond, Target.Entry_.Id_, OwnId_, Weights), Now);
-}
-
 std::size_t TargetBalancer::ejectedCount() const {
   return static_cast<std::size_t>(
       std::count_if(States_.begin(), States_.end(),
@@ -502,14 +472,6 @@
                     }));
 }
 
-std::size_t TargetBalancer::limitedCount(TimePoint Now) const {
-  return static_cast<std::size_t>(
-      std::count_if(States_.begin(), States_.end(),
-                    [&](const std::pair<const TargetId, State> &Entry) {
-                      return !Entry.second.RateLimit_.allowsAttempt(Now);
-                    }));
-}
-
 Duration TargetBalancer::expectedTimeToFreeSlot(TimePoint Now) const {
   std::optional<double> ShortestTime;
   for (const std::pair<const TargetId, State> &Entry : States_)
--- a/test/gateway-settings-test.cc
+++ b/test/gateway-settings-test.cc
@@ -158,3 +158,12 @@
   DOUBLES_EQUAL(20, With.LimitSlack_, 1e-9);
   DOUBLES_EQUAL(200, With.LinkMbps_, 1e-9);
 }
+
+TEST(GatewaySettings, ChoosesTargetsByCountUnlessToldByWork) {
+  CHECK_FALSE(parsed(filledTemplate()).MayBalanceByWork_);
+  const std::string Section = filledTemplate() + "\n[balancing]\n";
+  CHECK(parsed(Section + "choice = auto\n").MayBalanceByWork_);
+  CHECK_FALSE(parsed(Section + "choice = count\n").MayBalanceByWork_);
+  CHECK(parseError(Section + "choice = size\n")
+            .find("section [balancing], key choice") != std::string::npos);
+}
