AsioTimerService: count time in which the machine was suspended

The steady clock of the standard library stops while the machine is suspended. What was known before, such as that a configuration is recent, looked as recent after it as before.

now() takes CLOCK_BOOTTIME; Asio's timers stay as they are. A test cannot suspend the machine: the one added only checks that now() lies between two readings of that clock, and passes with the former clock on a machine that was never suspended.

--- a/include/kumquatpitch/asio-timer-service.h
+++ b/include/kumquatpitch/asio-timer-service.h
@@ -1,4 +1,5 @@
-// TimerService implementation on Asio's steady clock.
+// TimerService implementation with Asio. The time includes that in which the
+// machine was suspended; Asio's timers do not run meanwhile.
 
 #ifndef KUMQUATPITCH_ASIO_TIMER_SERVICE_H
 #define KUMQUATPITCH_ASIO_TIMER_SERVICE_H
--- a/include/kumquatpitch/time-point.h
+++ b/include/kumquatpitch/time-point.h
@@ -1,6 +1,6 @@
 // Time types of the core: durations in microseconds and points on the host's
-// monotonic clock. The core receives the time from its callers and never reads
-// a clock.
+// monotonic clock, which also counts time in which the host was suspended. The
+// core receives the time from its callers and never reads a clock.
 
 #ifndef KUMQUATPITCH_TIME_POINT_H
 #define KUMQUATPITCH_TIME_POINT_H
--- a/src/asio-timer-service.cc
+++ b/src/asio-timer-service.cc
@@ -2,11 +2,18 @@
 
 #include "kumquatpitch/asio-timer-service.h"
 
+#include <ctime>
+
 namespace kumquatpitch {
 
+/// The steady clock of the standard library stops while the machine is
+/// suspended, and would make what is known look more recent than it is.
 TimePoint AsioTimerService::now() const {
+  std::timespec Time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Time);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
 TimerSubscription
