ConfigProof: hosts renew the proof from other hosts

Until now each host whose proof was half of the revocation time old read the store for itself: by calculation 39 calls a second for 97 hosts with 5 s.

A host now asks another one from a third of that time on: the one that last forwarded changes of the store, then a random one of its failure domain, then one of another. The answer gives the age of that host's proof and the version of its configuration. It counts from the sending of the query, so no clocks are compared, and only once a configuration at least as new is in force.

--- a/include/kumquatpitch/config-proof-updater.h
+++ b/include/kumquatpitch/config-proof-updater.h
@@ -1,6 +1,7 @@
 // Keeps this host's proof that its configuration is recent enough to accept
-// keys: records what reads of the store show, passes it to AdmissionControl and
-// logs when the proof is lost and regained. Owned by GatewayDaemon.
+// keys: records what reads of the store show, asks other hosts and answers
+// them, passes the proof to AdmissionControl and logs when it is lost and
+// regained. Owned by GatewayDaemon.
 
 #ifndef KUMQUATPITCH_CONFIG_PROOF_UPDATER_H
 #define KUMQUATPITCH_CONFIG_PROOF_UPDATER_H
@@ -9,6 +10,7 @@
 #include "kumquatpitch/admission/config-proof.h"
 #include "kumquatpitch/event-log.h"
 #include "kumquatpitch/metrics.h"
+#include "kumquatpitch/peer-channel.h"
 #include "kumquatpitch/store-follower.h"
 
 namespace kumquatpitch {
@@ -19,6 +21,9 @@
   AdmissionControl &Admission_;
   EventLog &Log_;
   Metrics &Metrics_;
+  PeerChannel &Peers_;
+  const HostMembership &Membership_;
+  RandomSource &Random_;
 };
 
 class ConfigProofUpdater {
@@ -37,14 +42,28 @@
   /// Records that such a read has begun.
   void readStarted(TimePoint Now);
 
-  /// Logs changes. Call it a few times a second.
+  /// Records that `Host` has forwarded changes of the store.
+  void setReader(const HostId &Host) { Reader_ = Host; }
+
+  /// Handles a query or an answer of another host. Returns false for a message
+  /// of another kind.
+  bool receive(const PeerDatagram &Datagram, const std::string &SenderAddress,
+               TimePoint Now);
+
+  /// Asks another host when that is due, and logs changes. Call it a few times
+  /// a second.
   void tick(TimePoint Now);
 
   const ConfigProof &proof() const { return Proof_; }
 
 private:
+  void ask(TimePoint Now);
+  void logChanges(TimePoint Now);
+  void passOn();
+
   ConfigProofDependencies Dependencies_;
   ConfigProof Proof_;
+  HostId Reader_;
   /// The proof as last logged: lost when it has expired, regained when at least
   /// half of its time is left.
   bool IsLost_ = true;
--- a/include/kumquatpitch/peer-datagram.h
+++ b/include/kumquatpitch/peer-datagram.h
@@ -4,6 +4,7 @@
 #ifndef KUMQUATPITCH_PEER_DATAGRAM_H
 #define KUMQUATPITCH_PEER_DATAGRAM_H
 
+#include "kumquatpitch/admission/config-proof.h"
 #include "kumquatpitch/admission/limit-peer.h"
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/result.h"
@@ -50,7 +51,8 @@
 using PeerDatagram =
     std::variant<ProbeMessage, StoreChangesMessage, EvidenceMessage,
                  OutcomeCountsMessage, RateLimitsMessage, LimitPartOffer,
-                 LimitPartQuestion, TokenRequest, TokenAnswer>;
+                 LimitPartQuestion, TokenRequest, TokenAnswer, ProofQuery,
+                 ProofAnswer>;
 
 /// Maximum number of services in one OutcomeCountsMessage. A message with this
 /// many services fits into one datagram even if all names have the maximum
--- a/src/config-proof-updater.cc
+++ b/src/config-proof-updater.cc
@@ -2,6 +2,8 @@
 
 #include "kumquatpitch/config-proof-updater.h"
 
+#include "kumquatpitch/admission/proof-peer.h"
+
 namespace kumquatpitch {
 
 void ConfigProofUpdater::follow(const FollowResult &Result,
@@ -10,6 +12,10 @@
     Proof_.setVersion(InForce->config().Version_);
   if (Result.Reading_)
     Proof_.readEnded(*Result.Reading_, Now);
+  passOn();
+}
+
+void ConfigProofUpdater::passOn() {
   if (Proof_.provenAt())
     Dependencies_.Admission_.configProven(*Proof_.provenAt());
 }
@@ -19,7 +25,40 @@
   Dependencies_.Metrics_.count("store_reads_for_proof");
 }
 
+bool ConfigProofUpdater::receive(const PeerDatagram &Datagram,
+                                 const std::string &SenderAddress,
+                                 TimePoint Now) {
+  if (const ProofQuery *Query = std::get_if<ProofQuery>(&Datagram)) {
+    if (const std::optional<ProofAnswer> Answer = Proof_.answer(*Query, Now))
+      Dependencies_.Peers_.send(SenderAddress, *Answer);
+    return true;
+  }
+  if (const ProofAnswer *Answer = std::get_if<ProofAnswer>(&Datagram)) {
+    Proof_.receive(*Answer);
+    passOn();
+    return true;
+  }
+  return false;
+}
+
 void ConfigProofUpdater::tick(TimePoint Now) {
+  if (Proof_.needsAnswer(Now))
+    ask(Now);
+  logChanges(Now);
+}
+
+void ConfigProofUpdater::ask(TimePoint Now) {
+  const std::optional<Member> Peer = chooseProofPeer(
+      Dependencies_.Membership_.self(), Dependencies_.Membership_.members(),
+      Reader_, Proof_.queriesSinceProof(), Dependencies_.Random_);
+  if (!Peer)
+    return;
+  Dependencies_.Metrics_.count("proof_queries_sent");
+  Dependencies_.Peers_.send(Peer->Address_,
+                            Proof_.ask(Dependencies_.Random_.next(), Now));
+}
+
+void ConfigProofUpdater::logChanges(TimePoint Now) {
   const Duration Limit = Dependencies_.KeyRevocationTime_;
   if (Limit == Duration::zero())
     return;
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -161,7 +161,8 @@
       Reports_(PeerReportsDependencies{Settings_.Id_, Core_, Peers_, Timers_,
                                        Log_, Random_}),
       ConfigProof_(ConfigProofDependencies{Settings_.KeyRevocationTime_,
-                                           Core_.admission(), Log_, Metrics_}),
+                                           Core_.admission(), Log_, Metrics_,
+                                           Peers_, Membership_, Random_}),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
   const MemoryShares Shares(Settings_.MemoryBytes_);
   TargetClient_.setMaxBufferedBytes(Shares.answers());
@@ -276,9 +277,10 @@
   if (const ProbeMessage *Probe = std::get_if<ProbeMessage>(&*Datagram))
     send(Membership_.receive(*Probe, Now));
   else if (const StoreChangesMessage *Changes =
-               std::get_if<StoreChangesMessage>(&*Datagram))
+               std::get_if<StoreChangesMessage>(&*Datagram)) {
     apply(Follower_.receive(*Changes, Now));
-  else
+    ConfigProof_.setReader(Changes->From_);
+  } else if (!ConfigProof_.receive(*Datagram, SenderAddress, Now))
     Reports_.receive(*Datagram, SenderAddress, Follower_.directory().entries());
 }
 
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -23,12 +23,16 @@
   LimitPartOffer = 6,
   LimitPartQuestion = 7,
   TokenRequest = 8,
-  TokenAnswer = 9
+  TokenAnswer = 9,
+  ProofQuery = 10,
+  ProofAnswer = 11
 };
 /// A rate limit is announced within seconds of the answer that named it.
 constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
 constexpr std::int64_t MaxNextTokenMs = 60'000;
 constexpr std::uint32_t MaxTokens = 65'535;
+/// A proof lasts for seconds.
+constexpr Duration MaxProofAge = std::chrono::hours(1);
 
 Json toJson(const Member &Host) {
   return Json::array({Host.Id_.str(), Host.Address_, Host.Domain_.str(),
@@ -184,6 +188,32 @@
                       Message.HasShare_, encodeList(Message.Grants_)});
 }
 
+Json encodeBody(const ProofQuery &Message) {
+  return Json::array({FormatVersion, static_cast<int>(MessageKind::ProofQuery),
+                      Message.Nonce_});
+}
+
+Json encodeBody(const ProofAnswer &Message) {
+  return Json::array({FormatVersion, static_cast<int>(MessageKind::ProofAnswer),
+                      Message.Nonce_, Message.Version_, Message.Age_.count()});
+}
+
+/// An unsigned number of one of these messages. Other types, which the library
+/// would convert, are rejected.
+std::uint64_t decodeUnsigned(const Json &Number) {
+  if (!Number.is_number_unsigned())
+    throw std::out_of_range("not an unsigned number");
+  return Number.get<std::uint64_t>();
+}
+
+ProofAnswer decodeProofAnswer(const Json &Body) {
+  const std::uint64_t Age = decodeUnsigned(Body.at(4));
+  if (Age > static_cast<std::uint64_t>(MaxProofAge.count()))
+    throw std::out_of_range("age of a proof is out of range");
+  return ProofAnswer{decodeUnsigned(Body.at(2)), decodeUnsigned(Body.at(3)),
+                     Duration(static_cast<Duration::rep>(Age))};
+}
+
 ProbeMessage decodeProbe(const Json &Body) {
   ProbeMessage Message;
   Message.From_ = decodeMember(Body.at(2));
@@ -326,6 +356,10 @@
       return PeerDatagram(decodeTokenRequest(Body));
     case MessageKind::TokenAnswer:
       return PeerDatagram(decodeTokenAnswer(Body));
+    case MessageKind::ProofQuery:
+      return PeerDatagram(ProofQuery{decodeUnsigned(Body.at(2))});
+    case MessageKind::ProofAnswer:
+      return PeerDatagram(decodeProofAnswer(Body));
     }
   } catch (const std::exception &Error) {
     return fail(ResultCode::PeerMessageMalformed, Error.what());
--- a/test/peer-datagram-test.cc
+++ b/test/peer-datagram-test.cc
@@ -58,6 +58,8 @@
                {{ServiceName("s"), TargetId("t"), 9, 3.4, ms(20)},
                 {ServiceName("s"), TargetId("u"), 9, NoRateLimit, ms(0)}},
                true}),
+           PeerDatagram(ProofQuery{0xfedc'ba98'7654'3210}),
+           PeerDatagram(ProofAnswer{0xfedc'ba98'7654'3210, 12, ms(1'700)}),
        }) {
     const std::optional<PeerDatagram> Received =
         decodeOrNone(encodeDatagram(Sent));
@@ -156,6 +158,35 @@
   CHECK_EQUAL(12, Changes);
 }
 
+// Guards against an answer that counts as a proof from the future or from a
+// time long ago, and against numbers that wrap around.
+TEST(PeerDatagram, ImpossibleProofAnswersAreRejected) {
+  for (const Duration Invalid : {ms(-1), Duration(-1), ms(3'600'001)})
+    CHECK_FALSE(
+        decodeOrNone(encodeDatagram(ProofAnswer{9, 12, Invalid})).has_value());
+  // [1, 11, -1, 12, 0], [1, 11, 9, "a", 0], [1, 11, 9, 12], [1, 11, 9, 12, 1.5]
+  for (const std::string &Invalid :
+       {std::string("\x85\x01\x0b\x20\x0c\x00", 6),
+        std::string("\x85\x01\x0b\x09\x61\x61\x00", 7),
+        std::string("\x84\x01\x0b\x09\x0c"),
+        std::string("\x85\x01\x0b\x09\x0c\xf9\x3e\x00", 8)})
+    CHECK_FALSE(decodeOrNone(Invalid).has_value());
+}
+
+TEST(PeerDatagram, ImpossibleProofQueriesAreRejected) {
+  // [1, 10], [1, 10, -1], [1, 10, null]
+  for (const std::string &Invalid :
+       {std::string("\x82\x01\x0a"), std::string("\x83\x01\x0a\x20"),
+        std::string("\x83\x01\x0a\xf6")})
+    CHECK_FALSE(decodeOrNone(Invalid).has_value());
+}
+
+TEST(PeerDatagram, ProofMessagesAreSmall) {
+  const std::uint64_t Large = std::numeric_limits<std::uint64_t>::max();
+  CHECK(encodeDatagram(ProofQuery{Large}).size() <= 12);
+  CHECK(encodeDatagram(ProofAnswer{Large, 4'000, ms(5'000)}).size() <= 21);
+}
+
 // Guards against a datagram that exhausts the stack.
 TEST(PeerDatagram, DeeplyNestedDatagramIsRejected) {
   constexpr std::size_t ReceiveBufferBytes = 2'048;
