--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -27,7 +27,6 @@
 /// Longest wait of a watch for changes. It rarely runs out, because some change
 /// is published almost all the time.
 constexpr Duration WatchTimeout = std::chrono::milliseconds(200);
-
 /// How long requests that were received when the daemon ends are still handled.
 constexpr Duration FinalRunTime = std::chrono::milliseconds(100);
 
@@ -59,7 +58,8 @@
                         Settings.ResendRatio_,
                         Settings.ResendSlack_,
                         Settings.ResendWindow_,
-                        AdmissionOptions{Settings.KeyRevocationTime_}};
+                        AdmissionOptions{Settings.KeyRevocationTime_},
+                        Settings.MayBalanceByWork_};
 }
 
 std::vector<std::string> addressesOf(const std::vector<Endpoint> &Endpoints) {
@@ -161,8 +161,14 @@
       Reports_(PeerReportsDependencies{Settings_.Id_, Core_, Peers_, Timers_,
                                        Log_, Random_}),
       ConfigProof_(ConfigProofDependencies{Settings_.KeyRevocationTime_,
-                                           Core_.admission(), Log_, Metrics_}),
+                                           Core_.admission(), Log_, Metrics_,
+                                           Peers_, Membership_, Random_}),
       Signals_(Context_, SIGTERM, SIGINT, SIGHUP) {
+  if (Settings_.LimitWindow_ > Duration::zero())
+    Limits_ = std::make_unique<LimitExchange>(
+        LimitExchangeDependencies{Context_, Timers_, Core_, Front_, Membership_,
+                                  Peers_, Log_, Metrics_},
+        Settings_);
   const MemoryShares Shares(Settings_.MemoryBytes_);
   TargetClient_.setMaxBufferedBytes(Shares.answers());
   FrontServer_.setMaxBufferedBytes(Shares.requestBodies());
@@ -276,9 +282,11 @@
   if (const ProbeMessage *Probe = std::get_if<ProbeMessage>(&*Datagram))
     send(Membership_.receive(*Probe, Now));
   else if (const StoreChangesMessage *Changes =
-               std::get_if<StoreChangesMessage>(&*Datagram))
+               std::get_if<StoreChangesMessage>(&*Datagram)) {
     apply(Follower_.receive(*Changes, Now));
-  else
+    ConfigProof_.setReader(Changes->From_);
+  } else if (!ConfigProof_.receive(*Datagram, SenderAddress, Now) &&
+             !(Limits_ && Limits_->receive(*Datagram)))
     Reports_.receive(*Datagram, SenderAddress, Follower_.directory().entries());
 }
 
