ConfigProof: a newer configuration that is not in force proves nothing

Cause: found in review. A read that showed a newer version than the one in force counted as a proof for the older one; only the order of the calls kept a configuration that cannot be decoded from doing so. Change: only a read of the version in force counts.

--- a/src/admission/config-proof.cc
+++ b/src/admission/config-proof.cc
@@ -45,7 +45,8 @@
   // A store that came back from an older copy lacks confirmed configurations
   // until they are written again.
   const bool MayLackWrites = RewrittenAt_ && Reading.SentAt_ < *RewrittenAt_;
-  if (MayLackWrites || Reading.Version_ < Version_)
+  // A newer one is in the store, but not in force here.
+  if (MayLackWrites || Reading.Version_ != Version_)
     return;
   prove(Reading.SentAt_);
 }
--- a/test/config-proof-test.cc
+++ b/test/config-proof-test.cc
@@ -63,6 +63,15 @@
   CHECK_FALSE(Proof_.provenAt().has_value());
 }
 
+// Guards against accepting a key that a newer configuration has withdrawn, if
+// that one did not come into force here.
+TEST(ConfigProof, NewerConfigurationThatIsNotInForceProvesNothing) {
+  Proof_.setVersion(3);
+  read(100, 110, 3);
+  read(500, 510, 4);
+  CHECK(Proof_.provenAt() == atMs(100));
+}
+
 TEST(ConfigProof, ReadIsNeededFromHalfOfTheRevocationTimeOn) {
   CHECK(Proof_.needsRead(atMs(0)));
   Proof_.setVersion(3);
