--- a/test/admission-control-test.cc
+++ b/test/admission-control-test.cc
@@ -144,6 +144,7 @@
 
 TEST(AdmissionControl, TenThousandWorkspacesAreIndexed) {
   std::vector<WorkspaceSettings> Many;
+  Many.reserve(10'000);
   for (int Index = 0; Index < 10'000; ++Index)
     Many.push_back(workspace(("w" + std::to_string(Index)).c_str(),
                              {("key-" + std::to_string(Index)).c_str()}));
--- a/test/fair-load-test.cc
+++ b/test/fair-load-test.cc
@@ -85,6 +85,7 @@
         apply(Entry.first, Entry.second);
     }
     std::vector<double> Shares;
+    Shares.reserve(Workspaces);
     for (int Index = 0; Index < Workspaces; ++Index)
       Shares.push_back(Served_[Index] / std::max(1.0, Asked_[Index]));
     return Shares;
