Review: a host that starts after a drill of the store takes a withdrawn key

Cause: the first read of a process proves its configuration, unless the store's era is above 1, and the newer version that another host names isn't regarded.

Fixes nothing.

--- a/review/harness-2/harness.cc
+++ b/review/harness-2/harness.cc
@@ -303,24 +303,35 @@
 
 void Store::put(const std::string &Key, const std::string &Value) {
   const std::lock_guard<std::mutex> Lock(Mutex_);
-  Item &Stored = Items_[Key];
+  Item &Stored = Now_.Items_[Key];
   Stored.Value_ = Value;
-  Stored.Revision_ = ++Revision_;
+  Stored.Revision_ = ++Now_.Revision_;
   if (Stored.Created_ == 0)
-    Stored.Created_ = Revision_;
-  Events_[Revision_] = {Key, itemJson(Key, Stored)};
+    Stored.Created_ = Now_.Revision_;
+  Now_.Events_[Now_.Revision_] = {Key, itemJson(Key, Stored)};
 }
 
 void Store::remove(const std::string &Key) {
   const std::lock_guard<std::mutex> Lock(Mutex_);
-  if (Items_.erase(Key) == 0)
+  if (Now_.Items_.erase(Key) == 0)
     return;
-  ++Revision_;
-  Events_[Revision_] = {Key, "{\"Key\":\"" + Key + "\",\"Revision\":" +
-                                 std::to_string(Revision_) +
+  ++Now_.Revision_;
+  Now_.Events_[Now_.Revision_] = {Key, "{\"Key\":\"" + Key + "\",\"Revision\":" +
+                                 std::to_string(Now_.Revision_) +
                                  ",\"Removed\":true}"};
 }
 
+void Store::keepCopy() {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  Copy_ = Now_;
+}
+
+void Store::restoreCopy() {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  Now_ = Copy_;
+  ++Era_;
+}
+
 void Store::serve(Socket &Connection) {
   Message Request;
   while (Connection.readMessage(Request, 120'000)) {
@@ -329,21 +340,22 @@
     std::string Path;
     Line >> Method >> Path;
     sleepMs(AnswerMs);
-    if (!Connection.send(IsDown_ ? httpAnswer(503, "") : answer(Path)))
+    if (!Connection.send(IsDown_ ? httpAnswer(503, "", {{"Store-Era", std::to_string(Era_)}})
+                                 : answer(Path)))
       return;
   }
 }
 
 std::string Store::answer(const std::string &Target) {
-  const Headers Era{{"Content-Type", "application/json"}, {"Store-Era", "1"}};
+  const Headers Era{{"Content-Type", "application/json"}, {"Store-Era", std::to_string(Era_)}};
   const std::string Path = Target.substr(0, Target.find('?'));
   if (Path == "/kv-key") {
     const std::lock_guard<std::mutex> Lock(Mutex_);
-    const auto It = Items_.find(queryValue(Target, "Key"));
-    if (It == Items_.end())
+    const auto It = Now_.Items_.find(queryValue(Target, "Key"));
+    if (It == Now_.Items_.end())
       return httpAnswer(404, "{}", Era);
     std::string Json = itemJson(It->first, It->second);
-    Json.insert(Json.size() - 1, ",\"AsOf\":" + std::to_string(Revision_));
+    Json.insert(Json.size() - 1, ",\"AsOf\":" + std::to_string(Now_.Revision_));
     return httpAnswer(200, Json, Era);
   }
   const std::string Prefix = queryValue(Target, "Prefix");
@@ -351,32 +363,37 @@
   if (Path == "/kv-range") {
     const std::lock_guard<std::mutex> Lock(Mutex_);
     std::string List;
-    for (const auto &Entry : Items_)
+    for (const auto &Entry : Now_.Items_)
       if (Entry.first.rfind(Prefix, 0) == 0 && Entry.first > After)
         List += (List.empty() ? "" : ",") + itemJson(Entry.first, Entry.second);
     return httpAnswer(200,
                       "{\"items\":[" + List + "],\"HasMore\":false,\"AsOf\":" +
-                          std::to_string(Revision_) + "}",
+                          std::to_string(Now_.Revision_) + "}",
                       Era);
   }
   if (Path != "/kv-watch")
     return httpAnswer(404, "{}", Era);
   const std::uint64_t Since = std::strtoull(After.c_str(), nullptr, 10);
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Since > Now_.Revision_)
+      return httpAnswer(410, "{}", Era);
+  }
   const std::int64_t End =
       nowMs() + std::atoi(queryValue(Target, "WaitMs").c_str());
   for (;;) {
     {
       const std::lock_guard<std::mutex> Lock(Mutex_);
       std::string List;
-      for (auto It = Events_.upper_bound(Since); It != Events_.end(); ++It)
+      for (auto It = Now_.Events_.upper_bound(Since); It != Now_.Events_.end(); ++It)
         if (It->second.Key_.rfind(Prefix, 0) == 0)
           List += (List.empty() ? "" : ",") + It->second.Json_;
       if (IsDown_)
-        return httpAnswer(503, "");
+        return httpAnswer(503, "", Era);
       if (!List.empty() || nowMs() >= End)
         return httpAnswer(200,
                           "{\"events\":[" + List +
-                              "],\"AsOf\":" + std::to_string(Revision_) + "}",
+                              "],\"AsOf\":" + std::to_string(Now_.Revision_) + "}",
                           Era);
     }
     sleepMs(5);
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -127,6 +127,12 @@
   std::string endpoint() const { return Server_->endpoint(); }
   /// While it is down, the store refuses each call with 503.
   void setDown(bool IsDown) { IsDown_ = IsDown; }
+  /// Sets the era that all answers name.
+  void setEra(int Era) { Era_ = Era; }
+  /// Keeps a copy of what the store holds now.
+  void keepCopy();
+  /// Goes back to that copy, in the next era.
+  void restoreCopy();
 
 private:
   struct Item {
@@ -142,10 +148,16 @@
   std::string answer(const std::string &Target);
   std::string itemJson(const std::string &Key, const Item &Stored) const;
 
+  struct Contents {
+    std::map<std::string, Item> Items_;
+    std::map<std::uint64_t, Event> Events_;
+    std::uint64_t Revision_ = 1'000;
+  };
+
   std::mutex Mutex_;
-  std::map<std::string, Item> Items_;
-  std::map<std::uint64_t, Event> Events_;
-  std::uint64_t Revision_ = 1'000;
+  Contents Now_;
+  Contents Copy_;
+  std::atomic<int> Era_{1};
   std::atomic<bool> IsDown_{false};
   std::unique_ptr<Server> Server_;
 };
