Review: a host behind several versions of a configuration stays behind

Cause: the changes that a host missed are read in one answer with all versions. One that takes over 1.2 s or 8 MB fails, and is asked for again.

Fixes nothing.

--- a/review/harness-2/harness.cc
+++ b/review/harness-2/harness.cc
@@ -87,8 +87,8 @@
 bool Socket::send(const std::string &Bytes) {
   std::size_t Sent = 0;
   while (Sent < Bytes.size()) {
-    const ssize_t Count = ::send(Fd_, Bytes.data() + Sent, Bytes.size() - Sent,
-                                 MSG_NOSIGNAL);
+    const ssize_t Count =
+        ::send(Fd_, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
     if (Count <= 0) {
       HasEnded_ = true;
       return false;
@@ -242,8 +242,9 @@
     const std::size_t Left = std::min<std::size_t>(3, Bytes.size() - At);
     std::uint32_t Group = 0;
     for (std::size_t Index = 0; Index < 3; ++Index)
-      Group = Group << 8 |
-              (Index < Left ? static_cast<unsigned char>(Bytes[At + Index]) : 0);
+      Group =
+          Group << 8 |
+          (Index < Left ? static_cast<unsigned char>(Bytes[At + Index]) : 0);
     for (std::size_t Index = 0; Index < 4; ++Index)
       Text += Index <= Left ? Digits[Group >> (18 - 6 * Index) & 63] : '=';
   }
@@ -269,8 +270,8 @@
   std::size_t At = Target.find('?');
   while (At != std::string::npos) {
     const std::size_t End = Target.find('&', At + 1);
-    const std::string Part = Target.substr(
-        At + 1, End == std::string::npos ? End : End - At - 1);
+    const std::string Part =
+        Target.substr(At + 1, End == std::string::npos ? End : End - At - 1);
     if (Part.rfind(Name + "=", 0) == 0)
       return percentDecoded(Part.substr(Name.size() + 1));
     At = End;
@@ -289,6 +290,7 @@
 
 /// The platform's store takes this time for an answer.
 static constexpr int AnswerMs = 4;
+static constexpr std::int64_t HistoryMs = 20'000;
 
 Store::Store() {
   Server_ = std::make_unique<Server>(
@@ -308,7 +310,16 @@
   Stored.Revision_ = ++Now_.Revision_;
   if (Stored.Created_ == 0)
     Stored.Created_ = Now_.Revision_;
-  Now_.Events_[Now_.Revision_] = {Key, itemJson(Key, Stored)};
+  Now_.Events_[Now_.Revision_] = {Key, itemJson(Key, Stored), nowMs()};
+  dropHistory();
+}
+
+void Store::dropHistory() {
+  while (!Now_.Events_.empty() &&
+         nowMs() - Now_.Events_.begin()->second.At_ > HistoryMs) {
+    Now_.Dropped_ = Now_.Events_.begin()->first;
+    Now_.Events_.erase(Now_.Events_.begin());
+  }
 }
 
 void Store::remove(const std::string &Key) {
@@ -316,9 +327,12 @@
   if (Now_.Items_.erase(Key) == 0)
     return;
   ++Now_.Revision_;
-  Now_.Events_[Now_.Revision_] = {Key, "{\"Key\":\"" + Key + "\",\"Revision\":" +
-                                 std::to_string(Now_.Revision_) +
-                                 ",\"Removed\":true}"};
+  Now_.Events_[Now_.Revision_] = {Key,
+                                  "{\"Key\":\"" + Key + "\",\"Revision\":" +
+                                      std::to_string(Now_.Revision_) +
+                                      ",\"Removed\":true}",
+                                  nowMs()};
+  dropHistory();
 }
 
 void Store::keepCopy() {
@@ -340,14 +354,16 @@
     std::string Path;
     Line >> Method >> Path;
     sleepMs(AnswerMs);
-    if (!Connection.send(IsDown_ ? httpAnswer(503, "", {{"Store-Era", std::to_string(Era_)}})
-                                 : answer(Path)))
+    if (!Connection.send(
+            IsDown_ ? httpAnswer(503, "", {{"Store-Era", std::to_string(Era_)}})
+                    : answer(Path)))
       return;
   }
 }
 
 std::string Store::answer(const std::string &Target) {
-  const Headers Era{{"Content-Type", "application/json"}, {"Store-Era", std::to_string(Era_)}};
+  const Headers Era{{"Content-Type", "application/json"},
+                    {"Store-Era", std::to_string(Era_)}};
   const std::string Path = Target.substr(0, Target.find('?'));
   if (Path == "/kv-key") {
     const std::lock_guard<std::mutex> Lock(Mutex_);
@@ -376,7 +392,8 @@
   const std::uint64_t Since = std::strtoull(After.c_str(), nullptr, 10);
   {
     const std::lock_guard<std::mutex> Lock(Mutex_);
-    if (Since > Now_.Revision_)
+    dropHistory();
+    if (Since > Now_.Revision_ || Since < Now_.Dropped_)
       return httpAnswer(410, "{}", Era);
   }
   const std::int64_t End =
@@ -385,15 +402,16 @@
     {
       const std::lock_guard<std::mutex> Lock(Mutex_);
       std::string List;
-      for (auto It = Now_.Events_.upper_bound(Since); It != Now_.Events_.end(); ++It)
+      for (auto It = Now_.Events_.upper_bound(Since); It != Now_.Events_.end();
+           ++It)
         if (It->second.Key_.rfind(Prefix, 0) == 0)
           List += (List.empty() ? "" : ",") + It->second.Json_;
       if (IsDown_)
         return httpAnswer(503, "", Era);
       if (!List.empty() || nowMs() >= End)
         return httpAnswer(200,
-                          "{\"events\":[" + List +
-                              "],\"AsOf\":" + std::to_string(Now_.Revision_) + "}",
+                          "{\"events\":[" + List + "],\"AsOf\":" +
+                              std::to_string(Now_.Revision_) + "}",
                           Era);
     }
     sleepMs(5);
@@ -470,7 +488,8 @@
     Fields.insert(Fields.end(), Extra_.begin(), Extra_.end());
   }
   --Running_;
-  return httpAnswer(200, Options_.Body_, Fields);
+  return httpAnswer(200, MakeBody_ ? MakeBody_(Request) : Options_.Body_,
+                    Fields);
 }
 
 int freePort(const std::string &Address) {
@@ -482,9 +501,8 @@
     for (const int Type : {SOCK_STREAM, SOCK_DGRAM}) {
       const int Fd = ::socket(AF_INET, Type | SOCK_CLOEXEC, 0);
       const sockaddr_in Own = addressOf(Address, Port);
-      IsFree = IsFree &&
-               ::bind(Fd, reinterpret_cast<const sockaddr *>(&Own),
-                      sizeof Own) == 0;
+      IsFree = IsFree && ::bind(Fd, reinterpret_cast<const sockaddr *>(&Own),
+                                sizeof Own) == 0;
       ::close(Fd);
     }
     if (IsFree)
@@ -596,9 +614,9 @@
   return Status_;
 }
 
-int runCase(int Argc, char **Argv,
-            const std::function<bool(Record &, const std::string &, bool)>
-                &HoldsRule) {
+int runCase(
+    int Argc, char **Argv,
+    const std::function<bool(Record &, const std::string &, bool)> &HoldsRule) {
   if (Argc != 3)
     return 2;
   std::signal(SIGPIPE, SIG_IGN);
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -64,8 +64,8 @@
   int fd() const { return Fd_; }
   void close();
   bool send(const std::string &Bytes);
-  /// Waits at most `Ms` for the next bytes, at most 16 KB. False at the end, after an error
-  /// and after that time.
+  /// Waits at most `Ms` for the next bytes, at most 16 KB. False at the end,
+  /// after an error and after that time.
   bool receive(int Ms, std::size_t MaxBytes = 16'384);
   /// True if bytes, an end or an error can be read now.
   bool isReadable() const;
@@ -83,8 +83,8 @@
 };
 
 struct ConnectOptions {
-  int ReceiveBuffer_ = 0;  ///< SO_RCVBUF; 0 for the default.
-  int MaxSegment_ = 0;     ///< TCP_MAXSEG; 0 for the default.
+  int ReceiveBuffer_ = 0; ///< SO_RCVBUF; 0 for the default.
+  int MaxSegment_ = 0;    ///< TCP_MAXSEG; 0 for the default.
 };
 Socket connectTo(const std::string &Address, int Port,
                  ConnectOptions Options = {});
@@ -118,7 +118,8 @@
   std::thread Acceptor_;
 };
 
-/// The platform's store: versioned items, listing and watch.
+/// The platform's store: versioned items, listing and watch. It holds its
+/// history for 20 s.
 class Store {
 public:
   Store();
@@ -143,15 +144,18 @@
   struct Event {
     std::string Key_;
     std::string Json_;
+    std::int64_t At_ = 0;
   };
   void serve(Socket &Connection);
   std::string answer(const std::string &Target);
+  void dropHistory();
   std::string itemJson(const std::string &Key, const Item &Stored) const;
 
   struct Contents {
     std::map<std::string, Item> Items_;
     std::map<std::uint64_t, Event> Events_;
     std::uint64_t Revision_ = 1'000;
+    std::uint64_t Dropped_ = 0; ///< Events up to here have been discarded.
   };
 
   std::mutex Mutex_;
@@ -188,6 +192,10 @@
   std::string entry(const std::string &State = "ready") const;
   void setExtra(const Headers &Extra);
   void setWorkMs(int WorkMs) { WorkMs_ = WorkMs; }
+  /// Makes the body of an answer; otherwise it is that of the options.
+  void setBody(std::function<std::string(const TargetRequest &)> MakeBody) {
+    MakeBody_ = std::move(MakeBody);
+  }
   /// Called for each request that runs, when it begins.
   void onRun(std::function<void(const TargetRequest &)> Callback) {
     OnRun_ = std::move(Callback);
@@ -205,6 +213,7 @@
   TargetOptions Options_;
   Record &Log_;
   std::function<void(const TargetRequest &)> OnRun_;
+  std::function<std::string(const TargetRequest &)> MakeBody_;
   std::atomic<int> WorkMs_;
   std::atomic<int> Running_{0};
   mutable std::mutex Mutex_;
@@ -218,11 +227,11 @@
 struct HostOptions {
   std::string Name_;
   std::string Zone_ = "zone-a";
-  std::string Address_;      ///< Its loopback address.
-  std::string Seeds_;        ///< Control addresses, separated by commas.
+  std::string Address_; ///< Its loopback address.
+  std::string Seeds_;   ///< Control addresses, separated by commas.
   std::string Store_;
   int PeerPort_ = 0;
-  bool HasTenants_ = false;  ///< Bounds of a deployment with tenants.
+  bool HasTenants_ = false; ///< Bounds of a deployment with tenants.
   int MemoryMb_ = 260;
   double GraceS_ = 6;
 };
