--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,144 +1,135 @@
-// Case: a host starts while the store, back from a copy, lacks the withdrawal
-// of a key.
+// Case: a target that is partitioned from the store says in its answers that it
+// leaves, and ends after the drain time.
 
 #include "../harness-2/harness.h"
 
 #include <atomic>
-#include <csignal>
-#include <set>
+#include <cstdio>
 
 using namespace review;
 
-static const char *const OldKey = "old-key-of-a";
-static constexpr int RevokeMs = 5'000;
-/// The store is away for a moment.
-static constexpr int AwayMs = 500;
-/// The operator writes again what the copy lacks.
-static constexpr int RewriteMs = 1'500;
+/// Bounds of the deployment and dose of the disruption.
+static constexpr int DrainMs = 2'000;
+static constexpr int LapseMs = 4'500; ///< Three heartbeats of 1.5 s.
+/// The target serves for the drain time and 1.5 s longer, then it ends.
+static constexpr int LeaveMs = DrainMs + 1'500;
+static constexpr int WorkMs = 160;
 
-static std::string config(int Version, const std::string &KeysOfA) {
-  return R"({"Version":"0000000)" + std::to_string(Version) +
-         R"(","Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,)"
-         R"("HeaderTimeoutS":3,"IdleTimeoutS":15},)"
-         R"("Tenants":[{"Name":"tenant-a","ApiKeys":[)" +
-         KeysOfA +
-         R"(],"Priority":0},)"
-         R"({"Name":"tenant-b","ApiKeys":["key-of-b"],"Priority":0}],)"
-         R"("Listeners":[{"Host":"desk.example","Policy":[)"
-         R"({"Name":"book","Kind":"non_idempotent","GoalS":1,"Priority":1,)"
-         R"("Public":false,"Match":{"Prefix":"/book/"},"Action":)"
-         R"({"Service":"desk","TimeoutS":2.5,"Attempts":2}}]}],)"
-         R"("Clusters":[{"Name":"desk","HealthPath":"/healthz","MaxConns":1350,)"
-         R"("Protocol":"h1","Tls":false}]})";
-}
+static const char *const Config =
+    R"({"Version":"00000007","Limits":{"MaxHeaderBytes":16384,)"
+    R"("MaxBodyBytes":1048576,"HeaderTimeoutS":3,"IdleTimeoutS":15},)"
+    R"("Listeners":[{"Host":"desk.example","Policy":[)"
+    R"({"Name":"book","Kind":"non_idempotent","GoalS":1,"Priority":1,)"
+    R"("Match":{"Prefix":"/book/"},"Action":)"
+    R"({"Service":"desk","TimeoutS":2.5,"Attempts":2}}]}],)"
+    R"("Clusters":[{"Name":"desk","HealthPath":"/healthz","MaxConns":390,)"
+    R"("Protocol":"h1","Tls":false}]})";
 
 static bool holdsRule(Record &Log, const std::string &Folder, bool HasTrouble) {
   Store Platform;
-  Platform.setEra(0);
   std::mutex Mutex;
   std::map<std::string, std::int64_t> SentAt;
-  std::set<std::string> WithdrawnIds;
-  std::atomic<std::int64_t> RevokedAt{-1};
-  std::atomic<int> Stale{0};
+  std::atomic<std::int64_t> PassedOnAt{-1}; // First answer with Server-Leaving.
+  std::atomic<int> Late{0};
   std::vector<std::unique_ptr<Target>> Targets;
-  for (int Number = 1; Number <= 3; ++Number) {
+  for (int Number = 1; Number <= 4; ++Number) {
     TargetOptions Options;
     Options.Id_ = "i-" + std::to_string(Number);
     Options.Service_ = "desk";
+    Options.WorkMs_ = WorkMs;
     Targets.push_back(std::make_unique<Target>(Options, Log));
-    Targets.back()->onRun([&](const TargetRequest &Request) {
-      const std::lock_guard<std::mutex> Lock(Mutex);
-      const std::int64_t Sent = SentAt[Request.Id_];
-      if (!WithdrawnIds.count(Request.Id_) || RevokedAt < 0 ||
-          Sent <= RevokedAt + RevokeMs)
-        return;
-      ++Stale;
-      Log.line("  " + Request.Id_ + " was sent " +
-               std::to_string(Sent - RevokedAt) +
-               " ms after its key had been withdrawn");
-    });
     Platform.put("servers/" + Targets.back()->id(), Targets.back()->entry());
   }
-  Platform.put("op/config", config(7, R"("old-key-of-a","key-of-a")"));
-  const int PeerPort = freePort(loopback(2));
-  std::vector<std::unique_ptr<Host>> Hosts;
-  for (int Number = 1; Number <= 2; ++Number) {
-    HostOptions Options;
-    Options.Name_ = "edge-" + std::to_string(Number);
-    Options.Address_ = loopback(1 + Number);
-    Options.Seeds_ = loopback(2) + ":8186," + loopback(3) + ":8186";
-    Options.Store_ = Platform.endpoint();
-    Options.PeerPort_ = PeerPort;
-    Options.HasTenants_ = true;
-    Hosts.push_back(std::make_unique<Host>(Options, Folder));
-    Hosts.back()->start();
-  }
-  for (const std::unique_ptr<Host> &Edge : Hosts)
-    Edge->awaitReady();
+  Target &Leaving = *Targets.front();
+  Leaving.onRun([&](const TargetRequest &Request) {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    const std::int64_t Passed = PassedOnAt;
+    if (Passed < 0 || SentAt[Request.Id_] <= Passed + DrainMs)
+      return;
+    ++Late;
+    Log.line("  " + Request.Id_ + " was sent " +
+             std::to_string(SentAt[Request.Id_] - Passed) +
+             " ms after the host had passed on that " + Leaving.id() +
+             " leaves");
+  });
+  Platform.put("op/config", Config);
+  HostOptions Options;
+  Options.Name_ = "edge-1";
+  Options.Address_ = loopback(2);
+  Options.Seeds_ = loopback(2) + ":8186";
+  Options.Store_ = Platform.endpoint();
+  Options.PeerPort_ = freePort(loopback(2));
+  Host Edge(Options, Folder);
+  Edge.start();
+  Edge.awaitReady();
+
+  std::atomic<bool> IsDone{false};
+  std::atomic<int> Lost{0};
+  std::atomic<int> Served{0};
+  std::vector<std::thread> Callers;
+  for (int Caller = 1; Caller <= 8; ++Caller)
+    Callers.emplace_back([&, Caller] {
+      Socket Connection;
+      for (int Number = 1; !IsDone; ++Number) {
+        if (!Connection.isOpen())
+          Connection = connectTo(Edge.address(), Edge.front());
+        const std::string Id =
+            "c" + std::to_string(Caller) + "-" + std::to_string(Number);
+        {
+          const std::lock_guard<std::mutex> Lock(Mutex);
+          SentAt[Id] = nowMs();
+        }
+        Connection.send("POST /book/slot HTTP/1.1\r\nHost: desk.example\r\n"
+                        "Request-Id: " +
+                        Id +
+                        "\r\nDeadline-Ms: 2500\r\n"
+                        "Content-Length: 4\r\n\r\nslot");
+        Message Answer;
+        const bool IsAnswered = Connection.readMessage(Answer, 3'000);
+        if (IsAnswered && Answer.has("Server-Leaving") && PassedOnAt < 0) {
+          PassedOnAt = nowMs();
+          Log.line("the host has passed on an answer with Server-Leaving");
+        }
+        const bool IsServed =
+            IsAnswered && Answer.StartLine_.find(" 200 ") != std::string::npos;
+        ++(IsServed ? Served : Lost);
+        if (!IsServed) {
+          const std::map<std::string, int> Runs = Leaving.runs();
+          Log.line("caller got \"" +
+                   (IsAnswered ? Answer.StartLine_ : "no answer") + "\" to " +
+                   Id +
+                   (Runs.count(Id) ? ", which ran at the leaving target" : ""));
+          Connection.close();
+        }
+        sleepMs(20);
+      }
+    });
   sleepMs(2'000);
 
-  int Number = 0;
-  const auto Call = [&](Host &Edge, const std::string &Key) {
-    const std::string Id = "request-" + std::to_string(++Number);
-    Socket Caller = connectTo(Edge.address(), Edge.front());
-    if (!Caller.isOpen())
-      return std::string();
-    {
-      const std::lock_guard<std::mutex> Lock(Mutex);
-      SentAt[Id] = nowMs();
-      if (Key == OldKey)
-        WithdrawnIds.insert(Id);
-    }
-    Caller.send(
-        "POST /book/slot HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + Id +
-        "\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer " + Key +
-        "\r\nContent-Length: 4\r\n\r\nslot");
-    Message Answer;
-    const bool IsAnswered = Caller.readMessage(Answer, 3'000);
-    Log.line("caller with " + Key + " sent " + Id + " to the host at " +
-             Edge.address() + ", got \"" +
-             (IsAnswered ? Answer.StartLine_ : "no answer") + "\"");
-    return Answer.StartLine_;
-  };
-  if (Call(*Hosts[1], OldKey).find(" 200 ") == std::string::npos)
-    throw CannotRun{"the key did not hold before"};
-  Platform.keepCopy();
-  sleepMs(500);
-  Platform.put("op/config", config(8, R"("key-of-a")"));
-  RevokedAt = nowMs();
-  Log.line("the withdrawal of old-key-of-a is confirmed, version 8");
-  sleepMs(500);
-  Log.line("edge-2 is stopped as planned");
-  Hosts[1]->signal(SIGTERM);
-  Hosts[1]->wait();
-  sleepMs(RevokedAt + RevokeMs + 100 - nowMs());
-  Call(*Hosts[0], OldKey);
-  if (HasTrouble) {
-    Platform.setDown(true);
-    Log.line("the store is away");
-    sleepMs(AwayMs);
-    Platform.restoreCopy();
-    Platform.setDown(false);
-    Log.line("the store is back from a copy with version 7");
-  }
-  const std::int64_t BackAt = nowMs();
-  Hosts[1]->start();
-  Log.line("edge-2 starts");
-  while (nowMs() < BackAt + RewriteMs) {
-    Call(*Hosts[1], OldKey);
-    sleepMs(50);
-  }
-  if (HasTrouble) {
-    Platform.put("op/config", config(8, R"("key-of-a")"));
-    Log.line("the operator has written version 8 again");
-  }
+  const std::int64_t LeavesAt = nowMs();
+  Log.line(Leaving.id() + " leaves");
+  Leaving.setExtra({{"Server-Leaving", "1"}});
+  if (HasTrouble)
+    Log.line(Leaving.id() + " is partitioned from the store");
+  else
+    Platform.put("servers/" + Leaving.id(), Leaving.entry("draining"));
+  sleepMs(LeavesAt + LeaveMs - nowMs());
+  Log.line(Leaving.id() + " ends with " + std::to_string(Leaving.running()) +
+           " requests at work");
+  Leaving.end();
+  sleepMs(LeavesAt + LapseMs - nowMs());
+  Platform.remove("servers/" + Leaving.id());
+  Log.line("the entry of " + Leaving.id() + " has gone");
   sleepMs(1'500);
-  Call(*Hosts[1], OldKey);
-  if (Call(*Hosts[1], "key-of-a").find(" 200 ") == std::string::npos)
-    throw CannotRun{"a key that holds was refused"};
-  Log.line(std::to_string(Stale) + " requests ran that were sent later than " +
-           std::to_string(RevokeMs) + " ms after their key's withdrawal");
-  return Stale == 0;
+  IsDone = true;
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  Log.line(std::to_string(Served) + " served, " + std::to_string(Lost) +
+           " not served, " + std::to_string(Late) +
+           " sent later than the drain time reached the leaving target");
+  if (PassedOnAt < 0)
+    throw CannotRun{"no answer with Server-Leaving was passed on"};
+  return Late == 0;
 }
 
 int main(int Argc, char **Argv) { return runCase(Argc, Argv, holdsRule); }
--- a/review/harness-2/harness.cc
+++ b/review/harness-2/harness.cc
@@ -418,6 +418,56 @@
   }
 }
 
+static constexpr double LinkBytesPerSecond = 10e6 / 8;
+
+Link::Link(const std::string &Store)
+    : StorePort_(std::atoi(Store.substr(Store.find(':') + 1).c_str())),
+      StoreAddress_(Store.substr(0, Store.find(':'))),
+      Server_(loopback(1), [this](Socket &Near) { relay(Near); }) {}
+
+/// Connections that a cut has interrupted carry nothing further.
+void Link::relay(Socket &Near) {
+  const int Begun = Heals_;
+  Socket Far = connectTo(StoreAddress_, StorePort_);
+  while (Far.isOpen() && Begun == Heals_) {
+    pollfd Ends[2] = {{Near.fd(), POLLIN, 0}, {Far.fd(), POLLIN, 0}};
+    if (IsCut_) {
+      sleepMs(10);
+      continue;
+    }
+    if (poll(Ends, 2, 20) <= 0)
+      continue;
+    if (Ends[0].revents != 0 && !pass(Near, Far, false))
+      return;
+    if (Ends[1].revents != 0 && !pass(Far, Near, true))
+      return;
+  }
+}
+
+bool Link::pass(Socket &From, Socket &To, bool IsPaced) {
+  if (!From.receive(0, 4'096))
+    return false;
+  const std::string Bytes = std::move(From.input());
+  From.input().clear();
+  if (IsPaced)
+    pace(Bytes.size());
+  Carried_ += Bytes.size();
+  return IsCut_ || To.send(Bytes);
+}
+
+void Link::pace(std::size_t Bytes) {
+  Clock::time_point Free;
+  {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    FreeAt_ = std::max(FreeAt_, Clock::now()) +
+              std::chrono::duration_cast<Clock::duration>(
+                  std::chrono::duration<double>(static_cast<double>(Bytes) /
+                                                LinkBytesPerSecond));
+    Free = FreeAt_;
+  }
+  std::this_thread::sleep_until(Free);
+}
+
 Target::Target(TargetOptions Options, Record &Log)
     : Options_(std::move(Options)), Log_(Log), WorkMs_(Options_.WorkMs_),
       Extra_(Options_.Extra_) {
--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -166,6 +166,34 @@
   std::unique_ptr<Server> Server_;
 };
 
+/// The link of a host of 10 Mbit/s to the store: carries the store's answers at
+/// that rate, and nothing while it is cut.
+class Link {
+public:
+  explicit Link(const std::string &Store);
+  std::string endpoint() const { return Server_.endpoint(); }
+  void cut() { IsCut_ = true; }
+  void heal() {
+    ++Heals_;
+    IsCut_ = false;
+  }
+  std::uint64_t carried() const { return Carried_; }
+
+private:
+  void relay(Socket &Near);
+  bool pass(Socket &From, Socket &To, bool IsPaced);
+  void pace(std::size_t Bytes);
+
+  const int StorePort_;
+  const std::string StoreAddress_;
+  std::atomic<bool> IsCut_{false};
+  std::atomic<int> Heals_{0};
+  std::atomic<std::uint64_t> Carried_{0};
+  std::mutex Mutex_;
+  Clock::time_point FreeAt_{};
+  Server Server_; ///< Last: its threads use the other members.
+};
+
 /// One request at a target.
 struct TargetRequest {
   Message Message_;
