Store: bound the size of a read, and let a slow link finish it

Cause: a read of the store had a fixed time whatever its size, while changes contain every version of the configuration since a revision. Each read was cut at 1.5 of 3.2 MB and the next one asked for the same again.

A read now ends when nothing arrives for 1 s or its bytes come at less than 125 KB/s. Changes beyond 1.5 MB end with the head of the answer and are read in two parts, targets and then the newest configuration; they are forwarded when both are there. The back-off counts from the start of a read, and kept entries lapse by the start of the read that lacks them. 'store lost' has the bytes received.

--- a/include/kumquatpitch/http-client-connection.h
+++ b/include/kumquatpitch/http-client-connection.h
@@ -46,6 +46,8 @@
 private:
   static constexpr std::size_t ReadBytes = 8'192;
 
+  void startTimeout();
+  std::chrono::steady_clock::time_point timeoutAt() const;
   void connect();
   void onConnected();
   void send();
@@ -79,13 +81,14 @@
   std::unique_ptr<MessageParser> Parser_;
   std::array<char, ReadBytes> Buffer_;
   std::chrono::steady_clock::time_point IdleSince_;
-  Duration ReuseTime_{}; ///< Idle time after which it is not reused.
+  std::chrono::steady_clock::time_point CalledAt_;
+  std::uint64_t ReceivedBytes_ = 0; ///< Since CalledAt_.
+  Duration ReuseTime_{};            ///< Idle time after which it is not reused.
   bool IsOpen_ = false;
   bool IsSent_ = false;    ///< Some of the request may have been sent.
   bool IsWritten_ = false; ///< The whole request has been written.
   bool HasWriteFailed_ = false;
   bool IsReading_ = false;
-  bool HasResponseBytes_ = false;
   bool HasEnded_ = false;    ///< The server has ended its side.
   bool IsHeld_ = false;      ///< The parser holds a response that is undecided.
   bool IsReused_ = false;    ///< It has carried another call before.
@@ -93,6 +96,7 @@
   int OtherResponses_ = 0;   ///< Responses to other requests, likewise.
   bool HasSecondResponse_ = false;
   bool IsUnprovable_ = false;  ///< The response would end with its connection.
+  bool IsTooLong_ = false;     ///< The response exceeds the call's limit.
   BytesBehindResponse Behind_; ///< Of the response that the parser holds.
   CarriedRequestIds CarriedIds_;
   SplicedResponseScan Scan_;       ///< Of the response that the parser is in.
--- a/include/kumquatpitch/http-client.h
+++ b/include/kumquatpitch/http-client.h
@@ -39,6 +39,7 @@
   bool IsEarly_ = false;     ///< Answered before the whole request was written.
   bool HasSecondResponse_ = false; ///< A second one began inside it.
   bool IsUnprovable_ = false; ///< Broken, since its end would prove nothing.
+  bool IsTooLong_ = false;    ///< Broken, since it exceeds MaxAnswerBytes_.
   /// The response ended like the beginning of another one, and counts as whole
   /// because nothing followed.
   bool WasHeld_ = false;
@@ -62,6 +63,11 @@
   Endpoint Endpoint_;
   Duration ConnectTimeout_{};
   Duration Timeout_{}; ///< From the call to the complete response.
+  /// Above 0, Timeout_ bounds each wait for bytes of the response instead, and
+  /// the call as a whole may last longer by the time that its bytes take at
+  /// this rate. A long response then passes a slow link, while one that stops
+  /// or trickles still ends.
+  std::uint64_t MinBytesPerSecond_ = 0;
   /// A connection is reused only if it has been idle for less than this.
   Duration MaxIdle_{};
   /// Responses to other requests are skipped; one that may belong to any
--- a/include/kumquatpitch/published-state.h
+++ b/include/kumquatpitch/published-state.h
@@ -21,6 +21,7 @@
   Ok,
   HistoryGone, ///< The requested changes are no longer kept; call listAll().
   Refused,     ///< The store rejected the call and did nothing.
+  TooLong,     ///< The answer exceeds the limit of the call; read parts of it.
   Failed,      ///< No complete answer, or one that cannot be parsed.
 };
 
@@ -77,9 +78,13 @@
   virtual void listAll(Callback OnRead) = 0;
 
   /// Reads the changes after `Revision`; waits up to `Wait` for the first one.
+  /// All versions of the configuration since then are among them.
   virtual void readChanges(std::uint64_t Revision, Duration Wait,
                            Callback OnRead) = 0;
 
+  /// Reads the changes of targets' entries after `Revision`, without waiting.
+  virtual void readTargetChanges(std::uint64_t Revision, Callback OnRead) = 0;
+
   /// Reads only the configuration. With `AllowStale` the result may be some
   /// seconds old, which costs the store less.
   virtual void readConfig(bool AllowStale, Callback OnRead) = 0;
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -10,6 +10,7 @@
 #include "kumquatpitch/admission/config-proof.h"
 #include "kumquatpitch/host-membership.h"
 #include "kumquatpitch/published-state.h"
+#include "kumquatpitch/store-read.h"
 #include "kumquatpitch/target-directory.h"
 
 #include <map>
@@ -30,18 +31,6 @@
   bool operator==(const StoreChangesMessage &) const = default;
 };
 
-/// The next read of the store.
-struct ReadRequest {
-  enum class Kind : std::uint8_t { All, Changes, Config } Kind_ = Kind::All;
-  std::uint64_t After_ = 0;
-  bool AllowStale_ = false; ///< A cheaper, stale copy of the config will do.
-  /// The read only shows that the configuration is recent: its result is not
-  /// forwarded, and it does not count as a reader's turn.
-  bool IsForProof_ = false;
-
-  bool operator==(const ReadRequest &) const = default;
-};
-
 /// The store came back from an older copy.
 struct EraChange {
   std::uint64_t PreviousEra_ = 0;
@@ -72,6 +61,8 @@
   static constexpr Duration HandOverDelay = std::chrono::milliseconds(250);
   static constexpr std::uint32_t MaxHandOverDelays = 3;
   /// Back-off after failed reads, doubled from the minimum up to the maximum.
+  /// It begins with the read; the minimum also separates a failure from the
+  /// next read.
   static constexpr Duration MinReadBackoff = std::chrono::milliseconds(200);
   static constexpr Duration MaxReadBackoff = std::chrono::milliseconds(1'600);
   /// Reads that fail for this long count as a store outage.
@@ -95,8 +86,8 @@
   /// Drops entries that were not republished after an outage, and uses those
   /// that a restored store still lists. Returns whether routing is affected.
   bool expire(TimePoint Now) {
-    return FreshAt_ && !NeedsListing_ && !HasGap_ &&
-           Directory_.expire(*FreshAt_, Now);
+    return CompleteUntil_ && !NeedsListing_ && !HasGap_ &&
+           Directory_.expire(*CompleteUntil_, Now);
   }
 
   const TargetDirectory &directory() const { return Directory_; }
@@ -125,9 +116,13 @@
   /// the known ones, so all state is read again; until then it stays in use.
   void enterEra(std::uint64_t Era, TimePoint Now, FollowResult &Result);
   void recordStoreAnswer(TimePoint Now);
+  /// Records that the copy has these changes, and passes them on to the own
+  /// failure domain.
+  void completeChanges(const CompleteChanges &Changes, FollowResult &Result);
   void applyAll(const PublishedRead &Read, TimePoint Now, FollowResult &Result);
   void applyConfig(const PublishedConfig &Config, FollowResult &Result);
-  void recordFailure(const PublishedRead &Read, TimePoint Now);
+  void recordFailure(const ReadRequest &Request, const PublishedRead &Read,
+                     TimePoint Now);
   std::optional<ConfigReading> configReading(const ReadRequest &Request) const;
 
   HostId Self_;
@@ -146,10 +141,14 @@
   std::optional<ReadRequest> InProgress_;
   std::uint64_t InProgressEra_ = 0; ///< Era_ when the read began.
   TimePoint InProgressSince_;
+  /// Set while changes are read in parts, because all together are too long.
+  std::optional<SplitRead> Split_;
   bool NeedsListing_ = true;
   bool AnnouncesEra_ = false; ///< The next listing is the first of its era.
   bool HasGap_ = false;       ///< Changes before a peer's message were missed.
-  std::optional<TimePoint> FreshAt_;
+  std::optional<TimePoint> FreshAt_; ///< When the copy was last completed.
+  /// The copy has all changes before this moment. A long read ends later.
+  std::optional<TimePoint> CompleteUntil_;
   std::optional<TimePoint> FailingSince_;
   std::optional<TimePoint> SettledAt_; ///< After a start during an outage.
   TimePoint BackoffUntil_{};
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -325,16 +325,9 @@
 void GatewayDaemon::startRead(const ReadRequest &Order, TimePoint Now) {
   if (Order.IsForProof_)
     ConfigProof_.readStarted(Now);
-  const PublishedStateReader::Callback Done =
-      [this, Order](const PublishedRead &Read) { onReadEnded(Order, Read); };
-  switch (Order.Kind_) {
-  case ReadRequest::Kind::All:
-    return Store_->listAll(Done);
-  case ReadRequest::Kind::Changes:
-    return Store_->readChanges(Order.After_, WatchTimeout, Done);
-  case ReadRequest::Kind::Config:
-    return Store_->readConfig(Order.AllowStale_, Done);
-  }
+  kumquatpitch::startRead(
+      *Store_, Order, WatchTimeout,
+      [this, Order](const PublishedRead &Read) { onReadEnded(Order, Read); });
 }
 
 void GatewayDaemon::onReadEnded(const ReadRequest &Order,
--- a/src/http-client-connection.cc
+++ b/src/http-client-connection.cc
@@ -67,7 +67,8 @@
   if (Options.IsHead_)
     Parser_->expectNoBody();
   IsSent_ = false;
-  HasResponseBytes_ = false;
+  CalledAt_ = std::chrono::steady_clock::now();
+  ReceivedBytes_ = 0;
   IsWritten_ = false;
   HasWriteFailed_ = false;
   IsReused_ = IsOpen_;
@@ -75,25 +76,42 @@
   OtherResponses_ = 0;
   HasSecondResponse_ = false;
   IsUnprovable_ = false;
+  IsTooLong_ = false;
   IsOverLimit_ = false;
   Behind_ = BytesBehindResponse();
   HasEnded_ = false;
   IsHeld_ = false;
   CarriedIds_.add(Options.Echo_.Id_);
   Scan_.begin(Options.Echo_.Header_, CarriedIds_);
+  startTimeout();
+  if (IsOpen_)
+    send();
+  else
+    connect();
+}
+
+std::chrono::steady_clock::time_point HttpClientConnection::timeoutAt() const {
+  const std::chrono::steady_clock::time_point End =
+      CalledAt_ + Options_.Timeout_;
+  if (Options_.MinBytesPerSecond_ == 0)
+    return End;
+  const Duration TransferTime(ReceivedBytes_ * Duration::period::den /
+                              Options_.MinBytesPerSecond_);
+  return std::min(End + TransferTime,
+                  std::chrono::steady_clock::now() + Options_.Timeout_);
+}
+
+void HttpClientConnection::startTimeout() {
   const std::shared_ptr<HttpClientConnection> Self = shared_from_this();
-  Timer_.expires_after(Options.Timeout_);
+  Timer_.expires_at(timeoutAt());
   Timer_.async_wait([Self](const asio::error_code &Error) {
     if (!Error && Self->IsHeld_)
       Self->decideEnd(true);
     else if (!Error)
       Self->fail(Self->IsSent_ ? CallEnd::TimedOut : CallEnd::NotConnected,
-                 "no complete response before the timeout");
+                 "no complete response before the timeout, " +
+                     std::to_string(Self->ReceivedBytes_) + " bytes received");
   });
-  if (IsOpen_)
-    send();
-  else
-    connect();
 }
 
 void HttpClientConnection::cancel() {
@@ -212,7 +230,9 @@
     return handleHeldRead(Error, Size);
   if (Error)
     return handleEnd(Error);
-  HasResponseBytes_ = true;
+  ReceivedBytes_ += Size;
+  if (Options_.MinBytesPerSecond_ > 0)
+    startTimeout();
   parse(std::string_view(Buffer_.data(), Size));
 }
 
@@ -230,11 +250,13 @@
       Scan_.feedAfterEnd(Bytes);
     if (Scan_.verdict() == SplicedResponseScan::Verdict::Spliced)
       return failSpliced();
-    if (IsRejected)
+    if (IsRejected) {
+      IsTooLong_ = Parser_->code() == ResultCode::RequestBodyTooLarge;
       return fail(CallEnd::Broken,
                   Parser_->hasInvalidStatus()
                       ? "response without a valid status"
                       : "response is not valid HTTP or too large");
+    }
     if (IsComplete && completeOrSkip(Bytes))
       return;
     if (failUnprovable())
@@ -301,8 +323,8 @@
     return;
   const std::string Found = OtherResponses_ > 0
                                 ? "only responses to other requests: "
-                            : HasResponseBytes_ ? "response truncated: "
-                                                : "no response: ";
+                            : ReceivedBytes_ > 0 ? "response truncated: "
+                                                 : "no response: ";
   fail(CallEnd::Broken,
        Found + (IsReset ? "connection reset" : Error.message()));
 }
@@ -455,6 +477,7 @@
   Result.SkippedResponses_ = OtherResponses_;
   Result.HasSecondResponse_ = HasSecondResponse_;
   Result.IsUnprovable_ = IsUnprovable_;
+  Result.IsTooLong_ = IsTooLong_;
   const HttpClient::Callback OnEnd = std::move(OnEnd_);
   OnEnd_ = nullptr;
   close();
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -16,6 +16,8 @@
     return "history_gone";
   case ReadStatus::Refused:
     return "refused";
+  case ReadStatus::TooLong:
+    return "too_long";
   case ReadStatus::Failed:
     return "failed";
   }
@@ -30,6 +32,8 @@
       ReadPeriod + HandOverDelay * std::min(Rank, MaxHandOverDelays);
   if (NeedsListing_)
     InProgress_ = ReadRequest{ReadRequest::Kind::All, 0, false};
+  else if (Split_)
+    InProgress_ = Split_->next();
   else if (HasGap_ || age(Now) >= Wait)
     InProgress_ = ReadRequest{ReadRequest::Kind::Changes, Revision_, false};
   else if (PeerConfigRevision_ > ConfigRevision_) {
@@ -46,9 +50,17 @@
   return InProgress_;
 }
 
-void StoreFollower::recordFailure(const PublishedRead &Read, TimePoint Now) {
-  if (Read.Status_ == ReadStatus::HistoryGone) {
+void StoreFollower::recordFailure(const ReadRequest &Request,
+                                  const PublishedRead &Read, TimePoint Now) {
+  const bool IsTooLong = Read.Status_ == ReadStatus::TooLong;
+  if (IsTooLong && Request.Kind_ == ReadRequest::Kind::Changes) {
+    Split_.emplace(Request.After_);
+    return;
+  }
+  if (Read.Status_ == ReadStatus::HistoryGone ||
+      (IsTooLong && Request.Kind_ == ReadRequest::Kind::TargetChanges)) {
     NeedsListing_ = true;
+    Split_.reset();
     return;
   }
   if (!FailingSince_)
@@ -57,7 +69,7 @@
   for (std::uint32_t Index = 0; Index < ConsecutiveFailures_; ++Index)
     Backoff = std::min(MaxReadBackoff, Backoff * 2);
   ++ConsecutiveFailures_;
-  BackoffUntil_ = Now + Backoff;
+  BackoffUntil_ = std::max(Now + MinReadBackoff, InProgressSince_ + Backoff);
 }
 
 void StoreFollower::enterEra(std::uint64_t Era, TimePoint Now,
@@ -69,6 +81,7 @@
     Directory_.storeRestored(Now);
   }
   Era_ = Era;
+  Split_.reset();
   ConfigRevision_ = 0;
   StoreVersion_.reset();
   PeerConfigRevision_ = 0;
@@ -100,7 +113,7 @@
     enterEra(Read.Era_, Now, Result);
   }
   if (Read.Status_ != ReadStatus::Ok || Read.Era_ < Era_) {
-    recordFailure(Read, Now);
+    recordFailure(Request, Read, Now);
     return Result;
   }
   recordStoreAnswer(Now);
@@ -108,33 +121,55 @@
   if (Read.Config_)
     applyConfig(*Read.Config_, Result);
   // Changes after a revision of another era are not all that has changed.
-  if (Request.Kind_ == ReadRequest::Kind::Changes && NeedsListing_)
+  const bool IsOfTargets = Request.Kind_ == ReadRequest::Kind::TargetChanges;
+  if ((Request.Kind_ == ReadRequest::Kind::Changes || IsOfTargets) &&
+      NeedsListing_)
     return Result;
+  if (IsOfTargets) {
+    Split_->targetsRead(Read.Revision_, InProgressSince_,
+                        apply(Read.Targets_, Now, Result.TargetsChanged_));
+    return Result;
+  }
   Result.Reading_ = configReading(Request);
-  if (Request.Kind_ == ReadRequest::Kind::Config)
+  if (Request.Kind_ == ReadRequest::Kind::Config) {
+    if (!Split_)
+      return Result;
+    FreshAt_ = Now;
+    completeChanges(Split_->changes(), Result);
+    Split_.reset();
     return Result;
+  }
   if (Request.IsForProof_) {
     // The next reader forwards these changes, with others that came before.
     apply(Read.Targets_, Now, Result.TargetsChanged_);
     return Result;
   }
   FreshAt_ = Now;
-  HasGap_ = false;
   if (Request.Kind_ == ReadRequest::Kind::All) {
+    CompleteUntil_ = InProgressSince_;
+    HasGap_ = false;
     applyAll(Read, Now, Result);
     return Result;
   }
-  std::vector<TargetChange> Changed =
-      apply(Read.Targets_, Now, Result.TargetsChanged_);
+  completeChanges(
+      CompleteChanges{Request.After_, Read.Revision_, InProgressSince_,
+                      apply(Read.Targets_, Now, Result.TargetsChanged_)},
+      Result);
+  return Result;
+}
+
+void StoreFollower::completeChanges(const CompleteChanges &Changes,
+                                    FollowResult &Result) {
+  CompleteUntil_ = Changes.AskedAt_;
+  HasGap_ = false;
   Result.ToForward_ =
       StoreChangesMessage{Self_,
-                          Request.After_,
-                          std::max(Request.After_, Read.Revision_),
+                          Changes.After_,
+                          std::max(Changes.After_, Changes.UpTo_),
                           ConfigRevision_,
-                          std::move(Changed),
+                          Changes.Targets_,
                           Era_};
-  Revision_ = std::max(Revision_, Read.Revision_);
-  return Result;
+  Revision_ = std::max(Revision_, Changes.UpTo_);
 }
 
 /// A stale copy may lack a confirmed configuration. Changes may lack one as
@@ -227,6 +262,7 @@
   if (Message.Revision_ >= Revision_) {
     Revision_ = Message.Revision_;
     FreshAt_ = Now;
+    CompleteUntil_ = Now;
     HasGap_ = false;
   }
   return Result;
--- a/src/store-read-log.cc
+++ b/src/store-read-log.cc
@@ -10,6 +10,9 @@
 static constexpr std::size_t MaxProblemBytes = 200;
 
 void StoreReadLog::write(const PublishedRead &Read, bool IsListing) {
+  if (Read.Status_ == ReadStatus::TooLong)
+    return Log_.write(LogLevel::Info, "store", "answer_too_long",
+                      {{"detail", Read.Detail_}});
   const bool IsOk = Read.Status_ == ReadStatus::Ok;
   if (IsOk != LastSucceeded_ || IsListing)
     Log_.write(IsOk ? LogLevel::Info : LogLevel::Warning, "store",
--- a/test/store-follower-test.cc
+++ b/test/store-follower-test.cc
@@ -421,3 +421,80 @@
   listAll(0);
   CHECK_FALSE(Follower_.due(0, atMs(800), true)->IsForProof_);
 }
+
+TEST_GROUP_BASE(StoreFollowerSplit, TEST_GROUP_CppUTestGroupStoreFollower){
+    PublishedRead ended(ReadStatus Status){PublishedRead Read;
+Read.Status_ = Status;
+return Read;
+}
+
+/// The next read at `AtMs` is of this kind, and ends with `Read`.
+FollowResult next(ReadRequest::Kind Kind, const PublishedRead &Read,
+                  std::int64_t AtMs) {
+  const std::optional<ReadRequest> Request = Follower_.due(0, atMs(AtMs));
+  CHECK(Request && Request->Kind_ == Kind);
+  return Follower_.readEnded(Read, atMs(AtMs + 1));
+}
+
+PublishedRead config(std::uint64_t Revision, std::uint64_t Version) {
+  PublishedRead Read = read(Revision);
+  Read.Config_ = PublishedConfig{Revision, table(Version)};
+  return Read;
+}
+}
+;
+
+// Guards against a peer that believes it has a configuration that its reader
+// has not read yet.
+TEST(StoreFollowerSplit, ChangesThatAreTooLongAreForwardedOnceTheyAreComplete) {
+  listAll(0);
+  next(ReadRequest::Kind::Changes, ended(ReadStatus::TooLong), 800);
+  const FollowResult Targets = next(ReadRequest::Kind::TargetChanges,
+                                    read(20, {change("b", 13, true)}), 802);
+  CHECK(Targets.TargetsChanged_);
+  CHECK_FALSE(Targets.ToForward_.has_value());
+  CHECK_FALSE(Targets.Reading_.has_value());
+  CHECK_EQUAL(10, Follower_.revision());
+  const FollowResult Config =
+      next(ReadRequest::Kind::Config, config(21, 9), 804);
+  CHECK(Config.NewTable_ != nullptr);
+  CHECK(Config.Reading_ == (ConfigReading{atMs(804), 0, 9}));
+  CHECK(Config.ToForward_ ==
+        (StoreChangesMessage{
+            HostId("h1"), 10, 20, 21, {change("b", 13, true)}, 0}));
+  CHECK_EQUAL(20, Follower_.revision());
+  CHECK_FALSE(Follower_.due(0, atMs(806)).has_value());
+}
+
+// Guards against reading the first part again when the second one fails.
+TEST(StoreFollowerSplit, FailedPartIsReadAgain) {
+  listAll(0);
+  next(ReadRequest::Kind::Changes, ended(ReadStatus::TooLong), 800);
+  next(ReadRequest::Kind::TargetChanges, ended(ReadStatus::Failed), 802);
+  CHECK_FALSE(Follower_.due(0, atMs(804)).has_value());
+  next(ReadRequest::Kind::TargetChanges, read(20), 1'100);
+  next(ReadRequest::Kind::Config, ended(ReadStatus::Failed), 1'102);
+  next(ReadRequest::Kind::Config, config(21, 9), 1'600);
+  CHECK_EQUAL(20, Follower_.revision());
+}
+
+// Guards against asking for the same part without end.
+TEST(StoreFollowerSplit, PartThatIsTooLongCausesAListing) {
+  listAll(0);
+  next(ReadRequest::Kind::Changes, ended(ReadStatus::TooLong), 800);
+  next(ReadRequest::Kind::TargetChanges, ended(ReadStatus::TooLong), 802);
+  next(ReadRequest::Kind::All, read(20), 804);
+  CHECK_FALSE(Follower_.due(0, atMs(806)).has_value());
+}
+
+// Guards against joining parts of two eras, whose revisions cannot be compared.
+TEST(StoreFollowerSplit, RestoredStoreEndsTheParts) {
+  listAll(0);
+  next(ReadRequest::Kind::Changes, ended(ReadStatus::TooLong), 800);
+  next(ReadRequest::Kind::TargetChanges, read(20), 802);
+  PublishedRead Restored = config(5, 7);
+  Restored.Era_ = 1;
+  CHECK_FALSE(next(ReadRequest::Kind::Config, Restored, 804).ToForward_);
+  CHECK_EQUAL(10, Follower_.revision());
+  CHECK(Follower_.due(0, atMs(806))->Kind_ == ReadRequest::Kind::All);
+}
--- a/test/store-recovery-test.cc
+++ b/test/store-recovery-test.cc
@@ -58,9 +58,13 @@
 
   const std::map<std::string, Item> &items() const { return State_.Items_; }
 
+  /// Changes with a version of the configuration are too long for one read.
+  bool HasLongConfigs_ = false;
+
   PublishedRead answer(const ReadRequest &Request) const {
     PublishedRead Read;
     Read.Status_ = ReadStatus::Ok;
+    const bool IsOfTargets = Request.Kind_ == ReadRequest::Kind::TargetChanges;
     Read.Era_ = Era_;
     Read.Revision_ = State_.Revision_;
     if (Request.Kind_ == ReadRequest::Kind::Config) {
@@ -74,7 +78,12 @@
       for (std::map<std::uint64_t, std::string>::const_iterator It =
                State_.History_.upper_bound(Request.After_);
            It != State_.History_.end(); ++It)
-        appendEvent(It->first, It->second, Read);
+        if (It->second != "config" || !IsOfTargets)
+          appendEvent(It->first, It->second, Read);
+      if (HasLongConfigs_ && Read.Config_) {
+        Read = PublishedRead();
+        Read.Status_ = ReadStatus::TooLong;
+      }
     }
     return Read;
   }
@@ -198,6 +207,8 @@
     return static_cast<std::int64_t>(Random_() % Bound);
   }
 
+  void setLongConfigs() { Store_.HasLongConfigs_ = true; }
+
   int StoreReads_ = 0;
   /// Broken guarantees, by what a test calls them.
   int LateConfigs_ = 0;
@@ -346,27 +357,38 @@
   CHECK_EQUAL(0, Model.LostTargets_);
 }
 
+static void checkRandomOrder(std::uint64_t Seed, bool HasLongConfigs) {
+  RecoveryModel Model(12, Seed, Seed % 2 == 0 ? 5 : 0);
+  if (HasLongConfigs)
+    Model.setLongConfigs();
+  for (int Change = 0; Change < 8; ++Change) {
+    Model.at(3'000 + Model.below(30'000), [&Model] { Model.setConfig(); });
+    Model.at(3'000 + Model.below(30'000), [&Model] { Model.drainTarget(); });
+    Model.at(3'000 + Model.below(30'000), [&Model] { Model.addTarget(); });
+  }
+  for (const std::int64_t FromMs : {8'000, 20'000}) {
+    const std::int64_t ForMs = 300 + Model.below(3'000);
+    const std::int64_t AgeMs = 1'000 + Model.below(12'000);
+    Model.at(FromMs + Model.below(4'000),
+             [&Model, ForMs, AgeMs] { Model.restore(ForMs, AgeMs); });
+  }
+  Model.run(42'000);
+  CHECK_EQUAL(0, Model.LateConfigs_);
+  CHECK_EQUAL(0, Model.OlderConfigs_);
+  CHECK_EQUAL(0, Model.ReturnedTargets_);
+  CHECK_EQUAL(0, Model.LostTargets_);
+}
+
 // Guards against orders of restores, changes and lost datagrams that the two
 // tests above do not have. The store may go back twice, and changes may be
 // confirmed while it has just come back.
 TEST(StoreRecovery, HoldsInRandomOrdersOfRestoresAndChanges) {
-  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
-    RecoveryModel Model(12, Seed, Seed % 2 == 0 ? 5 : 0);
-    for (int Change = 0; Change < 8; ++Change) {
-      Model.at(3'000 + Model.below(30'000), [&Model] { Model.setConfig(); });
-      Model.at(3'000 + Model.below(30'000), [&Model] { Model.drainTarget(); });
-      Model.at(3'000 + Model.below(30'000), [&Model] { Model.addTarget(); });
-    }
-    for (const std::int64_t FromMs : {8'000, 20'000}) {
-      const std::int64_t ForMs = 300 + Model.below(3'000);
-      const std::int64_t AgeMs = 1'000 + Model.below(12'000);
-      Model.at(FromMs + Model.below(4'000),
-               [&Model, ForMs, AgeMs] { Model.restore(ForMs, AgeMs); });
-    }
-    Model.run(42'000);
-    CHECK_EQUAL(0, Model.LateConfigs_);
-    CHECK_EQUAL(0, Model.OlderConfigs_);
-    CHECK_EQUAL(0, Model.ReturnedTargets_);
-    CHECK_EQUAL(0, Model.LostTargets_);
-  }
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed)
+    checkRandomOrder(Seed, false);
+}
+
+// Guards against the same while changes are read in parts.
+TEST(StoreRecovery, HoldsInRandomOrdersWithLongConfigurations) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed)
+    checkRandomOrder(Seed, true);
 }
