Gateway: a sender's Connection takes away no field of the gateway

Cause: the gateway added its fields to the caller's, and the writer then left out what the Connection of the joined list names. forwardedFields now takes a received message's fields without those of its connection before others are added, in both directions, and keeps those that are for the last recipient.

--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -7,6 +7,7 @@
 
 #include "kumquatpitch/event-log.h"
 #include "kumquatpitch/gateway-core.h"
+#include "kumquatpitch/gateway-headers.h"
 #include "kumquatpitch/http-client.h"
 #include "kumquatpitch/http-server.h"
 #include "kumquatpitch/metrics.h"
@@ -20,21 +21,6 @@
 
 namespace kumquatpitch {
 
-/// Names of the headers that callers, hosts and backend servers use.
-struct GatewayHeaders {
-  std::string RequestId_ = "Kumquatpitch-Request-Id";
-  std::string DeadlineMs_ = "Kumquatpitch-Deadline-Ms";
-  std::string ExpectedTarget_ = "Kumquatpitch-Target";
-  std::string AnswerSignature_ = "Kumquatpitch-Answer-Signature";
-  std::string NotRun_ = "Kumquatpitch-Not-Run";
-  std::string TargetLoad_ = "Kumquatpitch-Target-Load";
-  std::string TargetRateLimit_ = "Kumquatpitch-Target-Rate-Limit";
-
-  std::string Workspace_ = "Kumquatpitch-Workspace";
-
-  bool operator==(const GatewayHeaders &) const = default;
-};
-
 /// Sends what this host observed about targets to the other hosts.
 class EvidenceSink {
 public:
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -170,7 +170,8 @@
     HttpMessage Forwarded;
     Forwarded.Method_ = Request.Method_;
     Forwarded.Target_ = Request.Target_;
-    Forwarded.Headers_ = Request.Headers_;
+    Forwarded.Headers_ =
+        forwardedFields(Request.Headers_, Dependencies_.Headers_);
     std::erase_if(Forwarded.Headers_, [this](const HeaderField &Header) {
       return !isForwarded(Header.first);
     });
@@ -401,6 +402,7 @@
     // The host knows no more than the target told: a length would state that
     // the answer is whole.
     Answer.EndsWithConnection_ = bodyFraming(Answer) == BodyFraming::UntilClose;
+    Answer.Headers_ = forwardedFields(Answer.Headers_, Dependencies_.Headers_);
     Exchange_->answer(std::move(Answer));
   }
 
