Targets: what a target says of its leaving holds on every host

A target that was partitioned from the store left and said so in its answers.

Cause: leaving was learned from the store alone; nothing read the header. The answer of a target itself now makes its entry a leaving one, whatever the store lists for this incarnation, and the other hosts are told if the store has not listed it within 1 s.

--- a/include/kumquatpitch/gateway-front.h
+++ b/include/kumquatpitch/gateway-front.h
@@ -27,6 +27,8 @@
   virtual ~EvidenceSink() = default;
   virtual void broadcastEvidence(const TargetEntry &Target,
                                  TargetObservation Observation) = 0;
+  /// Called for each answer in which a target says that it leaves.
+  virtual void targetLeaves(const TargetEntry &Target) = 0;
 };
 
 /// Everything that a request in progress uses. All of it outlives the front.
--- a/include/kumquatpitch/gateway-headers.h
+++ b/include/kumquatpitch/gateway-headers.h
@@ -20,7 +20,7 @@
   std::string NotRun_ = "Kumquatpitch-Not-Run";
   std::string TargetLoad_ = "Kumquatpitch-Target-Load";
   std::string TargetRateLimit_ = "Kumquatpitch-Target-Rate-Limit";
-
+  std::string TargetLeaving_ = "Kumquatpitch-Target-Leaving";
   std::string Workspace_ = "Kumquatpitch-Workspace";
 
   bool operator==(const GatewayHeaders &) const = default;
--- a/include/kumquatpitch/peer-datagram.h
+++ b/include/kumquatpitch/peer-datagram.h
@@ -7,6 +7,7 @@
 #include "kumquatpitch/admission/config-proof.h"
 #include "kumquatpitch/admission/limit-peer.h"
 #include "kumquatpitch/host-membership.h"
+#include "kumquatpitch/leaving-targets.h"
 #include "kumquatpitch/result.h"
 #include "kumquatpitch/store-follower.h"
 #include "kumquatpitch/target-balancer.h"
@@ -48,11 +49,21 @@
   bool operator==(const RateLimitsMessage &) const = default;
 };
 
+/// Targets that said to one host that they leave.
+struct LeavingTargetsMessage {
+  std::vector<LeavingTarget> Targets_;
+  /// The receiver forwards the message to the other hosts of its failure
+  /// domain.
+  bool Forward_ = false;
+
+  bool operator==(const LeavingTargetsMessage &) const = default;
+};
+
 using PeerDatagram =
     std::variant<ProbeMessage, StoreChangesMessage, EvidenceMessage,
                  OutcomeCountsMessage, RateLimitsMessage, LimitPartOffer,
                  LimitPartQuestion, TokenRequest, TokenAnswer, ProofQuery,
-                 ProofAnswer>;
+                 ProofAnswer, LeavingTargetsMessage>;
 
 /// Maximum number of services in one OutcomeCountsMessage. A message with this
 /// many services fits into one datagram even if all names have the maximum
@@ -75,6 +86,10 @@
 std::vector<RateLimitsMessage>
 splitRateLimits(const std::vector<NamedRateLimit> &Limits);
 
+/// Divides the targets among messages that fit into one datagram each.
+std::vector<LeavingTargetsMessage>
+splitLeavingTargets(const std::vector<LeavingTarget> &Targets);
+
 /// Splits the changes into messages that fit into one datagram each. Each
 /// message begins at the revision at which the previous one ends.
 std::vector<StoreChangesMessage>
--- a/include/kumquatpitch/peer-reports.h
+++ b/include/kumquatpitch/peer-reports.h
@@ -1,7 +1,7 @@
 // What a host reports to the others about requests and targets, and what it
 // does with their reports: evidence of failing targets, counts of failed
-// requests, and rate limits of targets. Owned by GatewayDaemon, which receives
-// the datagrams.
+// requests, and what targets say of themselves, rate limits and leaving. Owned
+// by GatewayDaemon, which receives the datagrams.
 
 #ifndef KUMQUATPITCH_PEER_REPORTS_H
 #define KUMQUATPITCH_PEER_REPORTS_H
@@ -22,6 +22,7 @@
 struct PeerReportsDependencies {
   HostId Self_;
   GatewayCore &Core_;
+  TargetDirectory &Directory_;
   PeerChannel &Peers_;
   TimerService &Timers_;
   EventLog &Log_;
@@ -37,6 +38,8 @@
   void broadcastEvidence(const TargetEntry &Target,
                          TargetObservation Observation) override;
 
+  void targetLeaves(const TargetEntry &Target) override;
+
   /// Sets, for each service, the addresses of the other hosts that its callers
   /// use.
   void
@@ -44,19 +47,22 @@
     CallerHostAddresses_ = std::move(Addresses);
   }
 
-  /// Handles a report of another host. `Targets` are the known ones. Returns
-  /// false for a message of another kind.
-  bool receive(const PeerDatagram &Datagram, const std::string &SenderAddress,
-               const std::map<TargetId, TargetEntry> &Targets);
+  /// Handles a report of another host. Returns false for a message of another
+  /// kind.
+  bool receive(const PeerDatagram &Datagram, const std::string &SenderAddress);
 
-  /// Drops what is no longer needed. Call it a few times a second.
+  /// Announces leaving targets, and drops what is no longer needed. Call it a
+  /// few times a second.
   void tick(TimePoint Now);
 
 private:
-  void receive(const EvidenceMessage &Evidence,
-               const std::map<TargetId, TargetEntry> &Targets);
+  void receive(const EvidenceMessage &Evidence);
   void receive(const RateLimitsMessage &Limits,
                const std::string &SenderAddress);
+  void receive(const LeavingTargetsMessage &Leaving,
+               const std::string &SenderAddress);
+  /// `Source` is the address of the host that told of it, or `own`.
+  void markLeaving(const LeavingTarget &Target, const std::string &Source);
   void sendOutcomeCounts(TimePoint Now);
   void sendRateLimitUpdates(TimePoint Now);
 
--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -91,6 +91,7 @@
   }
 
   const TargetDirectory &directory() const { return Directory_; }
+  TargetDirectory &directory() { return Directory_; }
   const std::shared_ptr<const RouteTable> &table() const { return Table_; }
   std::uint64_t revision() const { return Revision_; }
   std::uint64_t configRevision() const { return ConfigRevision_; }
--- a/include/kumquatpitch/target-directory.h
+++ b/include/kumquatpitch/target-directory.h
@@ -5,6 +5,7 @@
 #ifndef KUMQUATPITCH_TARGET_DIRECTORY_H
 #define KUMQUATPITCH_TARGET_DIRECTORY_H
 
+#include "kumquatpitch/leaving-targets.h"
 #include "kumquatpitch/name.h"
 #include "kumquatpitch/peer-transport.h"
 #include "kumquatpitch/time-point.h"
@@ -66,6 +67,17 @@
   /// them again or that time ends. Returns whether routing is affected.
   bool replaceAll(const std::vector<TargetEntry> &Entries, TimePoint Now);
 
+  /// Records that a target said in an answer to this host, or to `IsFromPeer`
+  /// another one, that it leaves. Its entry is leaving from then on, whatever
+  /// the store lists for this incarnation. Returns whether routing is affected.
+  bool markLeaving(const LeavingTarget &Target, bool IsFromPeer, TimePoint Now);
+
+  /// Targets whose leaving is to be announced to the other hosts now. They
+  /// count as announced.
+  std::vector<LeavingTarget> takeLeavingAnnouncements(TimePoint Now) {
+    return LeavingTargets_.takeAnnouncements(Now);
+  }
+
   /// Records that the store answers again after an outage.
   void storeRecovered(TimePoint Now) {
     GracePeriodEnd_ = Now + RepublishGracePeriod;
@@ -97,11 +109,13 @@
     TimePoint At_;
   };
 
-  bool add(const TargetEntry &Entry);
+  bool add(TargetEntry Entry);
   void drop(std::map<TargetId, TargetEntry>::iterator It, TimePoint Now);
   bool isOlderThanKnown(const TargetEntry &Entry) const;
 
   std::map<TargetId, TargetEntry> Entries_;
+  /// A subset of Entries_: those that the store lists as ready.
+  LeavingTargets LeavingTargets_;
   /// Targets that have left in the last DepartureMemory.
   std::map<TargetId, Departure> Departures_;
   /// Listed entries that are not in use; until HoldEnd_.
--- a/include/kumquatpitch/target-report.h
+++ b/include/kumquatpitch/target-report.h
@@ -28,15 +28,17 @@
   /// Requests per second that the target takes from all hosts together, or
   /// NoRateLimit. None if the answer's value is malformed.
   std::optional<double> RateLimit_;
+  std::optional<bool> IsLeaving_ = false; ///< None if malformed.
 
   bool operator==(const TargetReport &) const = default;
 };
 
 /// Parses the report in an answer's headers; a null pointer stands for a
 /// missing header. `Load` is `running,waiting,slots`, of which the slots are
-/// ignored, and `RateLimit` a decimal number.
+/// ignored, `RateLimit` a decimal number, and `Leaving` is `1` or `0`.
 TargetReport parseTargetReport(const std::string *Load,
-                               const std::string *RateLimit);
+                               const std::string *RateLimit,
+                               const std::string *Leaving = nullptr);
 
 /// A rate limit for logs, such as `3.4`, or `none`.
 std::string formatRateLimit(double PerSecond);
--- a/src/gateway-daemon.cc
+++ b/src/gateway-daemon.cc
@@ -158,7 +158,8 @@
       DirectoryServer_(Context_, *DirectoryHandler_),
       MetricsServer_(Context_, *MetricsHandler_), Datagrams_(Context_),
       Peers_(Datagrams_, Settings_.PeerPort_, Membership_, Random_, Metrics_),
-      Reports_(PeerReportsDependencies{Settings_.Id_, Core_, Peers_, Timers_,
+      Reports_(PeerReportsDependencies{Settings_.Id_, Core_,
+                                       Follower_.directory(), Peers_, Timers_,
                                        Log_, Random_}),
       ConfigProof_(ConfigProofDependencies{Settings_.KeyRevocationTime_,
                                            Core_.admission(), Log_, Metrics_,
@@ -287,7 +288,7 @@
     ConfigProof_.setReader(Changes->From_);
   } else if (!ConfigProof_.receive(*Datagram, SenderAddress, Now) &&
              !(Limits_ && Limits_->receive(*Datagram)))
-    Reports_.receive(*Datagram, SenderAddress, Follower_.directory().entries());
+    Reports_.receive(*Datagram, SenderAddress);
 }
 
 void GatewayDaemon::send(const std::vector<OutgoingProbe> &Probes) {
--- a/src/gateway-front.cc
+++ b/src/gateway-front.cc
@@ -261,6 +261,8 @@
     const TimePoint Now = Dependencies_.Timers_.now();
     const TargetReport Report = reportOf(Attempt, Outcome, Result.Answer_);
     logRateLimit(Attempt, Report);
+    if (Report.IsLeaving_.value_or(false))
+      Dependencies_.EvidenceSink_.targetLeaves(Attempt.Target_);
     const GatewayDecision Next = Dependencies_.Core_.attemptEnded(
         *Request_, Attempt, Outcome, Report, Now);
     if (Next.Observation_)
@@ -301,16 +303,24 @@
       return TargetReport();
     const std::string *RateLimit =
         Answer.header(Dependencies_.Headers_.TargetRateLimit_);
+    const std::string *Leaving =
+        Answer.header(Dependencies_.Headers_.TargetLeaving_);
     const TargetReport Report = parseTargetReport(
-        Answer.header(Dependencies_.Headers_.TargetLoad_), RateLimit);
+        Answer.header(Dependencies_.Headers_.TargetLoad_), RateLimit, Leaving);
     if (!Report.RateLimit_)
-      Dependencies_.Log_.write(LogLevel::Warning, "target", "limit_malformed",
-                               {{"id", Id_},
-                                {"target", Attempt.Target_.Id_.str()},
-                                {"value", *RateLimit}});
+      logMalformed(Attempt, "limit_malformed", *RateLimit);
+    if (!Report.IsLeaving_)
+      logMalformed(Attempt, "leaving_malformed", *Leaving);
     return Report;
   }
 
+  void logMalformed(const GatewayAttempt &Attempt, const char *Event,
+                    const std::string &Value) const {
+    Dependencies_.Log_.write(
+        LogLevel::Warning, "target", Event,
+        {{"id", Id_}, {"target", Attempt.Target_.Id_.str()}, {"value", Value}});
+  }
+
   double rateLimitOf(const TargetEntry &Target) const {
     const TargetBalancer *Targets =
         Dependencies_.Core_.balancer(Request_->Service_);
--- a/src/gateway-headers.cc
+++ b/src/gateway-headers.cc
@@ -17,9 +17,9 @@
       "Host",           "Cache-Control", "Content-Encoding",
       "Content-Length", "Content-Type",  "Retry-After"};
   const std::string_view Own[] = {
-      Names.RequestId_,       Names.DeadlineMs_, Names.ExpectedTarget_,
-      Names.AnswerSignature_, Names.NotRun_,     Names.TargetLoad_,
-      Names.TargetRateLimit_, Names.Workspace_};
+      Names.RequestId_,       Names.DeadlineMs_,    Names.ExpectedTarget_,
+      Names.AnswerSignature_, Names.NotRun_,        Names.TargetLoad_,
+      Names.TargetRateLimit_, Names.TargetLeaving_, Names.Workspace_};
   return std::ranges::any_of(Standard, IsName) ||
          std::ranges::any_of(Own, IsName);
 }
--- a/src/peer-datagram.cc
+++ b/src/peer-datagram.cc
@@ -25,7 +25,8 @@
   TokenRequest = 8,
   TokenAnswer = 9,
   ProofQuery = 10,
-  ProofAnswer = 11
+  ProofAnswer = 11,
+  LeavingTargets = 12
 };
 /// A rate limit is announced within seconds of the answer that named it.
 constexpr Duration MaxRateLimitAge = std::chrono::hours(1);
@@ -108,6 +109,10 @@
   return Limit;
 }
 
+Json toJson(const LeavingTarget &Target) {
+  return Json::array({Target.Id_.str(), Target.StartedUnixMs_});
+}
+
 Json toJson(const TokenWish &Wish) {
   return Json::array({Wish.Key_, Wish.Needed_, Wish.Wanted_});
 }
@@ -161,6 +166,12 @@
                       Message.Forward_, encodeList(Message.Limits_)});
 }
 
+Json encodeBody(const LeavingTargetsMessage &Message) {
+  return Json::array({FormatVersion,
+                      static_cast<int>(MessageKind::LeavingTargets),
+                      Message.Forward_, encodeList(Message.Targets_)});
+}
+
 Json encodeBody(const LimitPartOffer &Message) {
   return Json::array(
       {FormatVersion, static_cast<int>(MessageKind::LimitPartOffer),
@@ -272,6 +283,16 @@
   return Message;
 }
 
+LeavingTargetsMessage decodeLeavingTargets(const Json &Body) {
+  LeavingTargetsMessage Message;
+  Message.Forward_ = Body.at(2).get<bool>();
+  for (const Json &Target : Body.at(3))
+    Message.Targets_.push_back(
+        LeavingTarget{TargetId(Target.at(0).get<std::string>()),
+                      decodeUnsigned(Target.at(1))});
+  return Message;
+}
+
 LimitPartOffer decodePartOffer(const Json &Body) {
   return LimitPartOffer{
       HostId(Body.at(2).get<std::string>()), Body.at(3).get<std::uint64_t>(),
@@ -360,6 +381,8 @@
       return PeerDatagram(ProofQuery{decodeUnsigned(Body.at(2))});
     case MessageKind::ProofAnswer:
       return PeerDatagram(decodeProofAnswer(Body));
+    case MessageKind::LeavingTargets:
+      return PeerDatagram(decodeLeavingTargets(Body));
     }
   } catch (const std::exception &Error) {
     return fail(ResultCode::PeerMessageMalformed, Error.what());
@@ -380,17 +403,32 @@
   return std::nullopt;
 }
 
+/// Divides `Items` among messages with at most `MaxItems` in their `List`.
+template <class Message, class Item>
+static std::vector<Message> split(const std::vector<Item> &Items,
+                                  std::vector<Item> Message::*List,
+                                  std::size_t MaxItems) {
+  std::vector<Message> Parts;
+  for (const Item &Element : Items) {
+    if (Parts.empty() || (Parts.back().*List).size() == MaxItems)
+      Parts.emplace_back();
+    (Parts.back().*List).push_back(Element);
+  }
+  return Parts;
+}
+
 std::vector<RateLimitsMessage>
 splitRateLimits(const std::vector<NamedRateLimit> &Limits) {
   // A limit takes about 80 bytes.
   constexpr std::size_t MaxLimits = 12;
-  std::vector<RateLimitsMessage> Parts;
-  for (const NamedRateLimit &Limit : Limits) {
-    if (Parts.empty() || Parts.back().Limits_.size() == MaxLimits)
-      Parts.emplace_back();
-    Parts.back().Limits_.push_back(Limit);
-  }
-  return Parts;
+  return split(Limits, &RateLimitsMessage::Limits_, MaxLimits);
+}
+
+std::vector<LeavingTargetsMessage>
+splitLeavingTargets(const std::vector<LeavingTarget> &Targets) {
+  // A target takes about 30 bytes, one with a long id up to 220.
+  constexpr std::size_t MaxTargets = 5;
+  return split(Targets, &LeavingTargetsMessage::Targets_, MaxTargets);
 }
 
 /// At least the number of bytes that a change takes in a datagram.
--- a/src/peer-reports.cc
+++ b/src/peer-reports.cc
@@ -23,6 +23,8 @@
 /// Repeated failures of a target are sent to the other hosts at most once in
 /// this time.
 constexpr Duration EvidenceInterval = std::chrono::milliseconds(300);
+/// Names this host as the source of a report in the log.
+constexpr const char *OwnSource = "own";
 
 } // namespace
 
@@ -53,12 +55,25 @@
       Target.Service_, Target.Id_, Target.StartedUnixMs_, Observation, true});
 }
 
+void PeerReports::targetLeaves(const TargetEntry &Target) {
+  markLeaving(LeavingTarget{Target.Id_, Target.StartedUnixMs_}, OwnSource);
+}
+
+void PeerReports::markLeaving(const LeavingTarget &Target,
+                              const std::string &Source) {
+  const TimePoint Now = Dependencies_.Timers_.now();
+  if (!Dependencies_.Directory_.markLeaving(Target, Source != OwnSource, Now))
+    return;
+  Dependencies_.Core_.setTargets(Dependencies_.Directory_.entries(), Now);
+  Dependencies_.Log_.write(LogLevel::Info, "target", "leaving",
+                           {{"target", Target.Id_.str()}, {"source", Source}});
+}
+
 bool PeerReports::receive(const PeerDatagram &Datagram,
-                          const std::string &SenderAddress,
-                          const std::map<TargetId, TargetEntry> &Targets) {
+                          const std::string &SenderAddress) {
   if (const EvidenceMessage *Evidence =
           std::get_if<EvidenceMessage>(&Datagram)) {
-    receive(*Evidence, Targets);
+    receive(*Evidence);
     return true;
   }
   if (const OutcomeCountsMessage *Counts =
@@ -75,11 +90,17 @@
     receive(*Limits, SenderAddress);
     return true;
   }
+  if (const LeavingTargetsMessage *Leaving =
+          std::get_if<LeavingTargetsMessage>(&Datagram)) {
+    receive(*Leaving, SenderAddress);
+    return true;
+  }
   return false;
 }
 
-void PeerReports::receive(const EvidenceMessage &Evidence,
-                          const std::map<TargetId, TargetEntry> &Targets) {
+void PeerReports::receive(const EvidenceMessage &Evidence) {
+  const std::map<TargetId, TargetEntry> &Targets =
+      Dependencies_.Directory_.entries();
   const std::map<TargetId, TargetEntry>::const_iterator It =
       Targets.find(Evidence.Target_);
   if (It != Targets.end() &&
@@ -105,7 +126,17 @@
   Dependencies_.Peers_.forward(Limits);
 }
 
+void PeerReports::receive(const LeavingTargetsMessage &Leaving,
+                          const std::string &SenderAddress) {
+  for (const LeavingTarget &Target : Leaving.Targets_)
+    markLeaving(Target, SenderAddress);
+  Dependencies_.Peers_.forward(Leaving);
+}
+
 void PeerReports::tick(TimePoint Now) {
+  for (const LeavingTargetsMessage &Part : splitLeavingTargets(
+           Dependencies_.Directory_.takeLeavingAnnouncements(Now)))
+    Dependencies_.Peers_.sendToAll(Part);
   std::erase_if(LastEvidenceAt_,
                 [&](const std::pair<const TargetId, TimePoint> &Entry) {
                   return Now - Entry.second > EvidenceInterval;
--- a/src/target-directory.cc
+++ b/src/target-directory.cc
@@ -13,7 +13,12 @@
   return add(Entry);
 }
 
-bool TargetDirectory::add(const TargetEntry &Entry) {
+bool TargetDirectory::add(TargetEntry Entry) {
+  if (!Entry.Leaving_ &&
+      LeavingTargets_.contains(LeavingTarget{Entry.Id_, Entry.StartedUnixMs_}))
+    Entry.Leaving_ = true;
+  else
+    LeavingTargets_.forget(Entry.Id_);
   Missing_.erase(Entry.Id_);
   Departures_.erase(Entry.Id_);
   const std::map<TargetId, TargetEntry>::iterator It = Entries_.find(Entry.Id_);
@@ -26,8 +31,28 @@
   return Changed;
 }
 
+bool TargetDirectory::markLeaving(const LeavingTarget &Target, bool IsFromPeer,
+                                  TimePoint Now) {
+  const std::map<TargetId, TargetEntry>::iterator It =
+      Entries_.find(Target.Id_);
+  if (It == Entries_.end() ||
+      It->second.StartedUnixMs_ != Target.StartedUnixMs_)
+    return false;
+  const bool IsNew = !It->second.Leaving_;
+  // The store lists it as leaving.
+  if (!IsNew && !LeavingTargets_.contains(Target))
+    return false;
+  if (IsFromPeer)
+    LeavingTargets_.recordPeer(Target, Now);
+  else
+    LeavingTargets_.recordAnswer(Target, Now);
+  It->second.Leaving_ = true;
+  return IsNew;
+}
+
 void TargetDirectory::drop(std::map<TargetId, TargetEntry>::iterator It,
                            TimePoint Now) {
+  LeavingTargets_.forget(It->first);
   Departures_[It->first] = Departure{It->second.StartedUnixMs_, Now};
   Entries_.erase(It);
 }
--- a/src/target-report.cc
+++ b/src/target-report.cc
@@ -35,11 +35,16 @@
 } // namespace
 
 TargetReport parseTargetReport(const std::string *Load,
-                               const std::string *RateLimit) {
+                               const std::string *RateLimit,
+                               const std::string *Leaving) {
   TargetReport Report;
   if (Load)
     Report.Load_ = parseLoad(*Load);
   Report.RateLimit_ = RateLimit ? parseRateLimit(*RateLimit) : NoRateLimit;
+  if (Leaving && (*Leaving == "1" || *Leaving == "0"))
+    Report.IsLeaving_ = *Leaving == "1";
+  else if (Leaving)
+    Report.IsLeaving_ = std::nullopt;
   return Report;
 }
 
--- a/test/gateway-front-fixture.h
+++ b/test/gateway-front-fixture.h
@@ -149,7 +149,14 @@
                            TargetObservation Observation) override {
       LastObservation_ = Observation;
     }
+    void targetLeaves(const TargetEntry &Target) override {
+      Leaving_.push_back(Target.Id_);
+      if (Next_)
+        Next_->targetLeaves(Target);
+    }
     std::optional<TargetObservation> LastObservation_;
+    std::vector<TargetId> Leaving_; ///< One for each call.
+    EvidenceSink *Next_ = nullptr;  ///< Also gets the calls for Leaving_.
   } EvidenceSink_;
 
   UnframedServices UnframedServices_; ///< None, as by default.
--- a/test/peer-datagram-test.cc
+++ b/test/peer-datagram-test.cc
@@ -58,6 +58,8 @@
                {{ServiceName("s"), TargetId("t"), 9, 3.4, ms(20)},
                 {ServiceName("s"), TargetId("u"), 9, NoRateLimit, ms(0)}},
                true}),
+           PeerDatagram(LeavingTargetsMessage{
+               {{TargetId("t"), 1'767'280'437'058}, {TargetId("u"), 0}}, true}),
            PeerDatagram(ProofQuery{0xfedc'ba98'7654'3210}),
            PeerDatagram(ProofAnswer{0xfedc'ba98'7654'3210, 12, ms(1'700)}),
        }) {
@@ -115,6 +117,17 @@
   CHECK(splitRateLimits({}).empty());
 }
 
+TEST(PeerDatagram, ManyLeavingTargetsAreDividedAmongDatagrams) {
+  const std::vector<LeavingTarget> Targets(
+      12, LeavingTarget{TargetId(std::string(MaxNameBytes, 't')), UINT64_MAX});
+  std::size_t Sent = 0;
+  for (const LeavingTargetsMessage &Part : splitLeavingTargets(Targets)) {
+    CHECK(encodeDatagram(Part).size() <= MaxDatagramBytes);
+    Sent += Part.Targets_.size();
+  }
+  CHECK_EQUAL(12, Sent);
+}
+
 TEST(PeerDatagram, FullTallyFitsIntoOneDatagram) {
   OutcomeCountsMessage Full{HostId(std::string(MaxNameBytes, 'h')), {}};
   for (std::size_t Index = 0; Index < MaxOutcomeCounts; ++Index)
--- a/test/target-directory-test.cc
+++ b/test/target-directory-test.cc
@@ -122,3 +122,43 @@
   CHECK_FALSE(Directory_.expire(atMs(15'000), atMs(15'000)));
   CHECK_EQUAL(1, Directory_.entries().size());
 }
+
+static LeavingTarget leaving(const char *Id, std::uint64_t StartedUnixMs = 1) {
+  return LeavingTarget{TargetId(Id), StartedUnixMs};
+}
+
+// Guards against using a leaving target again because the store, which it does
+// not reach, still lists it as ready.
+TEST(TargetDirectory, TargetThatSaidThatItLeavesStaysLeaving) {
+  CHECK(Directory_.markLeaving(leaving("a"), false, atMs(1)));
+  CHECK_FALSE(Directory_.markLeaving(leaving("a"), true, atMs(2)));
+  CHECK_FALSE(Directory_.put(entry("a"), atMs(3)));
+  CHECK_FALSE(Directory_.replaceAll({entry("a"), entry("b")}, atMs(4)));
+  CHECK(Directory_.entries().at(TargetId("a")).Leaving_);
+  CHECK_FALSE(Directory_.entries().at(TargetId("b")).Leaving_);
+}
+
+// Guards against leaving out a target that has started again under its id, and
+// against a late answer of the incarnation before.
+TEST(TargetDirectory, LeavingHoldsForOneIncarnation) {
+  Directory_.markLeaving(leaving("a"), false, atMs(1));
+  TargetEntry Restarted = entry("a");
+  Restarted.StartedUnixMs_ = 2;
+  CHECK(Directory_.put(Restarted, atMs(2)));
+  CHECK_FALSE(Directory_.markLeaving(leaving("a", 1), true, atMs(3)));
+  CHECK_FALSE(Directory_.markLeaving(leaving("c"), true, atMs(4)));
+  CHECK_FALSE(Directory_.entries().at(TargetId("a")).Leaving_);
+  CHECK(Directory_.takeLeavingAnnouncements(atMs(9'000)).empty());
+}
+
+// Guards against announcing each planned stop on every host, which the store
+// does already.
+TEST(TargetDirectory, LeavingIsNotAnnouncedOnceTheStoreListsIt) {
+  Directory_.markLeaving(leaving("a"), false, atMs(1));
+  Directory_.markLeaving(leaving("b"), false, atMs(1));
+  Directory_.put(entry("a", true), atMs(700));
+  Directory_.remove(TargetId("b"), atMs(700));
+  CHECK(Directory_.takeLeavingAnnouncements(atMs(9'000)).empty());
+  CHECK_FALSE(Directory_.markLeaving(leaving("a"), false, atMs(9'100)));
+  CHECK(Directory_.takeLeavingAnnouncements(atMs(19'000)).empty());
+}
--- a/test/target-report-test.cc
+++ b/test/target-report-test.cc
@@ -42,3 +42,14 @@
   for (const char *Text : {"", "x", "-1", "nan", "inf", "3.4/s", "1e999"})
     CHECK(!limitOf(Text));
 }
+
+TEST(TargetReport, TargetLeavesOnlyWhenItSaysSo) {
+  const auto LeavingOf = [](const std::string &Text) {
+    return parseTargetReport(nullptr, nullptr, &Text).IsLeaving_;
+  };
+  CHECK(LeavingOf("1") == true);
+  CHECK(LeavingOf("0") == false);
+  CHECK(parseTargetReport(nullptr, nullptr).IsLeaving_ == false);
+  for (const char *Text : {"", "2", "1, 1", "yes"})
+    CHECK_FALSE(LeavingOf(Text).has_value());
+}
