Server: a write ends when its caller takes nothing, not after 10 s

The connection is now closed only if the caller's system acknowledges nothing in a whole timeout. Renewing the timeout with each part written is not enough: the own system reports room in steps of about a third of its buffer.

HttpServerSlowCaller.ResponseIsWrittenAsLongAsTheCallerReads failed before and with that first attempt.

--- a/include/kumquatpitch/http-server.h
+++ b/include/kumquatpitch/http-server.h
@@ -103,6 +103,10 @@
   /// closed.
   void setMaxResponseBytes(std::uint64_t Limit) { MaxResponseBytes_ = Limit; }
 
+  /// Sets how long a caller may take nothing of a response before its
+  /// connection is closed. 10 s by default.
+  void setWriteTimeout(Duration Timeout) { WriteTimeout_ = Timeout; }
+
   /// Bytes of responses that the connections hold.
   std::uint64_t responseBytes() const { return ResponseBytes_; }
 
@@ -130,6 +134,7 @@
   BufferBudget Bodies_{64 << 20};
   std::uint64_t MaxResponseBytes_ = 64 << 20;
   std::uint64_t ResponseBytes_ = 0; ///< Sum of all connections.
+  Duration WriteTimeout_ = std::chrono::seconds(10);
   std::size_t MaxConnections_ = 0;
   bool IsDraining_ = false;
   std::set<std::shared_ptr<HttpSession>>
--- a/include/kumquatpitch/socket-state.h
+++ b/include/kumquatpitch/socket-state.h
@@ -1,5 +1,6 @@
 // What the kernel knows of a TCP connection beyond its byte stream. Used by
-// HttpClientConnection to tell the orderly end of a response from a reset.
+// HttpClientConnection to tell the orderly end of a response from a reset, and
+// by HttpServer to tell whether a caller reads.
 
 #ifndef KUMQUATPITCH_SOCKET_STATE_H
 #define KUMQUATPITCH_SOCKET_STATE_H
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -4,6 +4,7 @@
 #include "kumquatpitch/http-server.h"
 
 #include "kumquatpitch/connection-phase.h"
+#include "kumquatpitch/socket-state.h"
 
 #include <array>
 #include <asio/post.hpp>
@@ -27,9 +28,6 @@
 constexpr Duration LingerTime = std::chrono::milliseconds(500);
 /// Delay before the next accept after one failed.
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50);
-/// The connection is closed if the caller has not read a response after this
-/// time.
-constexpr Duration WriteTimeout = std::chrono::seconds(10);
 
 } // namespace
 
@@ -357,17 +355,39 @@
     Writing_ = std::move(Outgoing_.front());
     Outgoing_.pop_front();
     const std::shared_ptr<HttpSession> Self = shared_from_this();
-    WriteTimer_.expires_after(WriteTimeout);
-    WriteTimer_.async_wait([Self](const asio::error_code &Error) {
-      if (!Error && Self->IsWriting_)
-        Self->close();
-    });
-    asio::async_write(Socket_, asio::buffer(Writing_.Text_),
+    startWriteTimer();
+    const auto Progress =
+        [Self, Before = WrittenBytes_](const asio::error_code &Error,
+                                       std::size_t Bytes) {
+          Self->WrittenBytes_ = Before + Bytes;
+          return Error ? 0 : MaxSharedWriteBytes;
+        };
+    asio::async_write(Socket_, asio::buffer(Writing_.Text_), Progress,
                       [Self](const asio::error_code &Error, std::size_t) {
                         Self->writeCompleted(Error);
                       });
   }
 
+  /// Bytes of all responses that the caller's system has taken.
+  std::uint64_t takenBytes() {
+    const std::uint64_t Unread = unacknowledgedBytes(Socket_.native_handle());
+    return WrittenBytes_ - std::min(WrittenBytes_, Unread);
+  }
+
+  /// Closes the connection if its caller takes nothing in the whole timeout.
+  void startWriteTimer() {
+    const std::shared_ptr<HttpSession> Self = shared_from_this();
+    WriteTimer_.expires_after(Server_.WriteTimeout_);
+    WriteTimer_.async_wait(
+        [Self, Before = takenBytes()](const asio::error_code &Error) {
+          if (Error || !Self->IsWriting_)
+            return;
+          if (Self->takenBytes() <= Before)
+            return Self->close();
+          Self->startWriteTimer();
+        });
+  }
+
   void writeCompleted(const asio::error_code &Error) {
     IsWriting_ = false;
     WriteTimer_.cancel();
@@ -438,6 +458,7 @@
   asio::ip::tcp::socket Socket_;
   asio::steady_timer Timer_;
   asio::steady_timer WriteTimer_;
+  std::uint64_t WrittenBytes_ = 0; ///< Of all responses, to the system.
   const CallerLimits Limits_;
   MessageParser Parser_;
   std::array<char, ReadBytes> Buffer_;
--- a/test/http-server-test.cc
+++ b/test/http-server-test.cc
@@ -25,8 +25,10 @@
   return Response;
 }
 
-/// Answers a request for /later after the next one, throws for /throw, and
-/// answers all others at once with their path.
+constexpr std::size_t LargeBytes = 8 << 20;
+
+/// Answers a request for /later after the next one, throws for /throw, answers
+/// one for /large with LargeBytes, and all others at once with their path.
 class PathHandler : public HttpHandler {
 public:
   void handle(std::shared_ptr<HttpExchange> Exchange) override {
@@ -37,7 +39,8 @@
       Held_ = std::move(Exchange);
       return;
     }
-    Exchange->answer(textResponse(200, Path));
+    Exchange->answer(textResponse(
+        200, Path == "/large" ? std::string(LargeBytes, 'x') : Path));
   }
 
   HttpMessage reject(ResultCode Code) override {
@@ -193,3 +196,53 @@
   CHECK(Received_.find("/long") == std::string::npos);
   CHECK(Received_.find("/inside") == std::string::npos);
 }
+
+TEST_GROUP_BASE(HttpServerSlowCaller, TEST_GROUP_CppUTestGroupHttpServer) {
+  asio::ip::tcp::socket Slow_{Context_};
+
+  void callForALargeResponse() {
+    Server_.setWriteTimeout(std::chrono::milliseconds(300));
+    Slow_.open(asio::ip::tcp::v4());
+    Slow_.set_option(asio::socket_base::receive_buffer_size(65'536));
+    Slow_.connect({asio::ip::make_address("127.0.0.1"), Port_});
+    asio::write(Slow_,
+                asio::buffer(requestFor(
+                    "/large", "Connection: close\r\nContent-Length: 0\r\n")));
+    Slow_.non_blocking(true);
+  }
+
+  /// Runs the server for a moment.
+  void runServer() {
+    Context_.restart();
+    Context_.run_for(std::chrono::milliseconds(10));
+  }
+};
+
+// Guards against cutting a large response, inside its caller's time, because
+// the whole of it takes longer than a write may stand still.
+TEST(HttpServerSlowCaller, ResponseIsWrittenAsLongAsTheCallerReads) {
+  callForALargeResponse();
+  std::string Part(32'768, '\0');
+  std::size_t Total = 0;
+  for (int Step = 0; Step < 1'000 && Total < LargeBytes; ++Step) {
+    runServer();
+    asio::error_code Error;
+    Total += Slow_.read_some(asio::buffer(Part), Error);
+    if (Error && Error != asio::error::would_block)
+      break;
+  }
+  CHECK(Total >= LargeBytes);
+}
+
+// Guards against a connection that is held for a caller that does not read.
+TEST(HttpServerSlowCaller, ResponseThatNobodyReadsIsCut) {
+  callForALargeResponse();
+  const auto IsCut = [&] {
+    return Server_.connections() == 1; // That of the fixture.
+  };
+  runServer();
+  CHECK_FALSE(IsCut());
+  for (int Step = 0; Step < 200 && !IsCut(); ++Step)
+    runServer();
+  CHECK(IsCut());
+}
