Tests share a recording target; one place says that the copy is current

GatewayHeaders, WorkspaceFront and LeavingFront had the same workspace and the same target that records and answers; both are in the fixture now. The follower set the three marks of a complete copy in three places. Whether a header is end to end is asked only for those of the connection, which are few.

--- a/include/kumquatpitch/store-follower.h
+++ b/include/kumquatpitch/store-follower.h
@@ -117,9 +117,12 @@
   /// the known ones, so all state is read again; until then it stays in use.
   void enterEra(std::uint64_t Era, TimePoint Now, FollowResult &Result);
   void recordStoreAnswer(TimePoint Now);
+  /// Records that the copy is complete, with all changes before `AskedAt`.
+  void becomeCurrent(TimePoint AskedAt, TimePoint Now);
   /// Records that the copy has these changes, and passes them on to the own
   /// failure domain.
-  void completeChanges(const CompleteChanges &Changes, FollowResult &Result);
+  void completeChanges(const CompleteChanges &Changes, TimePoint Now,
+                       FollowResult &Result);
   void applyAll(const PublishedRead &Read, TimePoint Now, FollowResult &Result);
   void applyConfig(const PublishedConfig &Config, FollowResult &Result);
   void recordFailure(const ReadRequest &Request, const PublishedRead &Read,
--- a/src/gateway-headers.cc
+++ b/src/gateway-headers.cc
@@ -29,8 +29,8 @@
   HeaderFields Forwarded;
   std::ranges::copy_if(Received, std::back_inserter(Forwarded),
                        [&](const HeaderField &Field) {
-                         return isEndToEnd(Field.first, Names) ||
-                                !isHopByHop(Field.first, Received);
+                         return !isHopByHop(Field.first, Received) ||
+                                isEndToEnd(Field.first, Names);
                        });
   return Forwarded;
 }
--- a/src/store-follower.cc
+++ b/src/store-follower.cc
@@ -132,10 +132,8 @@
   }
   Result.Reading_ = configReading(Request);
   if (Request.Kind_ == ReadRequest::Kind::Config) {
-    if (!Split_)
-      return Result;
-    FreshAt_ = Now;
-    completeChanges(Split_->changes(), Result);
+    if (Split_)
+      completeChanges(Split_->changes(), Now, Result);
     Split_.reset();
     return Result;
   }
@@ -144,24 +142,27 @@
     apply(Read.Targets_, Now, Result.TargetsChanged_);
     return Result;
   }
-  FreshAt_ = Now;
   if (Request.Kind_ == ReadRequest::Kind::All) {
-    CompleteUntil_ = InProgressSince_;
-    HasGap_ = false;
+    becomeCurrent(InProgressSince_, Now);
     applyAll(Read, Now, Result);
     return Result;
   }
   completeChanges(
       CompleteChanges{Request.After_, Read.Revision_, InProgressSince_,
                       apply(Read.Targets_, Now, Result.TargetsChanged_)},
-      Result);
+      Now, Result);
   return Result;
 }
 
-void StoreFollower::completeChanges(const CompleteChanges &Changes,
-                                    FollowResult &Result) {
-  CompleteUntil_ = Changes.AskedAt_;
+void StoreFollower::becomeCurrent(TimePoint AskedAt, TimePoint Now) {
+  FreshAt_ = Now;
+  CompleteUntil_ = AskedAt;
   HasGap_ = false;
+}
+
+void StoreFollower::completeChanges(const CompleteChanges &Changes,
+                                    TimePoint Now, FollowResult &Result) {
+  becomeCurrent(Changes.AskedAt_, Now);
   Result.ToForward_ =
       StoreChangesMessage{Self_,
                           Changes.After_,
@@ -261,9 +262,7 @@
   }
   if (Message.Revision_ >= Revision_) {
     Revision_ = Message.Revision_;
-    FreshAt_ = Now;
-    CompleteUntil_ = Now;
-    HasGap_ = false;
+    becomeCurrent(Now, Now);
   }
   return Result;
 }
--- a/test/gateway-front-fixture.h
+++ b/test/gateway-front-fixture.h
@@ -167,7 +167,8 @@
   std::unique_ptr<ScriptedTarget> Target_;
   asio::ip::tcp::socket Caller_{Context_};
   std::string Received_;
-  bool IsEnded_ = false; ///< The caller's connection has ended.
+  std::string Forwarded_; ///< Of all requests, to a recording target.
+  bool IsEnded_ = false;  ///< The caller's connection has ended.
   std::uint64_t TargetStarts_ = 0;
   std::array<char, 4'096> Buffer_;
 
@@ -237,6 +238,34 @@
     Target_ = std::make_unique<ScriptedTarget>(Context_, std::move(Script));
   }
 
+  /// Gives workspace `red` the key `key-1` and makes `/look/` public.
+  void useWorkspaces() {
+    RoutingConfig Config = routes(2, std::chrono::milliseconds(600),
+                                  std::chrono::milliseconds(300), 2);
+    Config.Routes_.front().IsPublic_ = true;
+    WorkspaceSettings Red;
+    Red.Name_ = WorkspaceName("red");
+    Red.Keys_ = {digestOf("key-1")};
+    Config.Workspaces_ = {Red};
+    Core_.setTable(std::make_shared<const RouteTable>(Config));
+  }
+
+  /// Starts a target that records what it gets in Forwarded_, and answers with
+  /// these header lines beside its own.
+  void startRecordingTarget(const std::string &Headers = "",
+                            const std::string &Status = "200 OK") {
+    startTarget([this, Headers, Status](ScriptedTarget::Socket &Socket,
+                                        const std::string &Request) {
+      if (!hasCompleteHead(Request))
+        return false;
+      Forwarded_ += Request;
+      std::string Answer = answer(requestIdOf(Request), "whole", Status);
+      Answer.insert(Answer.find("\r\n") + 2, Headers);
+      sendText(Socket, Answer);
+      return true;
+    });
+  }
+
   void call(const std::string &Bytes) {
     Caller_.connect(localEndpoint(FrontPort));
     sendText(Caller_, Bytes);
--- a/test/gateway-headers-test.cc
+++ b/test/gateway-headers-test.cc
@@ -6,47 +6,27 @@
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
-TEST_GROUP_BASE(GatewayHeaders, GatewayFrontFixture) {
-  std::string Forwarded_;
-
-  void useWorkspace() {
-    RoutingConfig Config = routes(2, std::chrono::milliseconds(600),
-                                  std::chrono::milliseconds(300), 2);
-    WorkspaceSettings Red;
-    Red.Name_ = WorkspaceName("red");
-    Red.Keys_ = {digestOf("key-1")};
-    Config.Workspaces_ = {Red};
-    Core_.setTable(std::make_shared<const RouteTable>(Config));
-  }
-
-  /// Calls with further header lines. The target records what it gets and
-  /// answers with `AnswerHeaders` beside its own.
-  void callWith(const std::string &Headers, const std::string &AnswerHeaders) {
-    startTarget([this, AnswerHeaders](ScriptedTarget::Socket &Socket,
-                                      const std::string &Request) {
-      if (!hasCompleteHead(Request))
-        return false;
-      Forwarded_ = Request;
-      std::string Answer = answer(requestIdOf(Request), "whole");
-      Answer.insert(Answer.find("\r\n") + 2, AnswerHeaders);
-      sendText(Socket, Answer);
-      return true;
-    });
-    std::string Text = request("/book/1", "id1", "POST", "body");
-    Text.insert(Text.find("\r\n\r\n") + 2, Headers);
-    call(Text);
-    CHECK(runUntilReceived("whole"));
-  }
+TEST_GROUP_BASE(GatewayHeaders, GatewayFrontFixture){
+    /// Calls with further header lines. The target answers with `AnswerHeaders`
+    /// beside its own.
+    void callWith(const std::string &Headers, const std::string &AnswerHeaders){
+        startRecordingTarget(AnswerHeaders);
+std::string Text = request("/book/1", "id1", "POST", "body");
+Text.insert(Text.find("\r\n\r\n") + 2, Headers);
+call(Text);
+CHECK(runUntilReceived("whole"));
+}
 
-  static bool contains(const std::string &Text, const std::string &Part) {
-    return Text.find(Part) != std::string::npos;
-  }
-};
+static bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+}
+;
 
 // Guards against requests that run without their workspace, deadline or
 // expected target, because the caller's Connection names these fields.
 TEST(GatewayHeaders, ConnectionOfACallerTakesAwayNoFieldOfTheGateway) {
-  useWorkspace();
+  useWorkspaces();
   callWith("Authorization: Bearer key-1\r\n"
            "Connection: keep-alive, kumquatpitch-WORKSPACE ,Host\r\n"
            "Content-Type: text/plain\r\n"
--- a/test/leaving-targets-test.cc
+++ b/test/leaving-targets-test.cc
@@ -124,15 +124,7 @@
     Core_.setTargets({{Entry.Id_, Entry}}, Timers_.now());
     Host_.Directory_.put(Entry, Timers_.now());
     OtherHost_.Directory_.put(Entry, Timers_.now());
-    startTarget([Status, Headers](ScriptedTarget::Socket &Socket,
-                                  const std::string &Request) {
-      if (!hasCompleteHead(Request))
-        return false;
-      std::string Answer = answer(requestIdOf(Request), "whole", Status);
-      Answer.insert(Answer.find("\r\n") + 2, Headers);
-      sendText(Socket, Answer);
-      return true;
-    });
+    startRecordingTarget(Headers, Status);
   }
 };
 
--- a/test/workspace-front-test.cc
+++ b/test/workspace-front-test.cc
@@ -6,40 +6,20 @@
 using namespace kumquatpitch;
 using namespace kumquatpitch::test;
 
-TEST_GROUP_BASE(WorkspaceFront, GatewayFrontFixture) {
-  std::string Forwarded_;
-
-  /// Gives workspace `red` the key `key-1` and makes `/look/` public.
-  void useWorkspaces() {
-    RoutingConfig Config = routes(2, std::chrono::milliseconds(600),
-                                  std::chrono::milliseconds(300), 2);
-    Config.Routes_.front().IsPublic_ = true;
-    WorkspaceSettings Red;
-    Red.Name_ = WorkspaceName("red");
-    Red.Keys_ = {digestOf("key-1")};
-    Config.Workspaces_ = {Red};
-    Core_.setTable(std::make_shared<const RouteTable>(Config));
-  }
-
-  /// Calls with further header lines; the target records what it gets.
-  void callWith(const std::string &Path, const std::string &Headers) {
-    startTarget(
-        [this](ScriptedTarget::Socket &Socket, const std::string &Request) {
-          if (!hasCompleteHead(Request))
-            return false;
-          Forwarded_ += Request;
-          sendText(Socket, answer(requestIdOf(Request), "whole"));
-          return true;
-        });
-    std::string Text = request(Path, "id1");
-    Text.insert(Text.find("\r\n\r\n") + 2, Headers);
-    call(Text);
-  }
+TEST_GROUP_BASE(WorkspaceFront, GatewayFrontFixture){
+    /// Calls with further header lines; the target records what it gets.
+    void callWith(const std::string &Path,
+                  const std::string &Headers){startRecordingTarget();
+std::string Text = request(Path, "id1");
+Text.insert(Text.find("\r\n\r\n") + 2, Headers);
+call(Text);
+}
 
-  bool isForwarded(const std::string &Text) const {
-    return Forwarded_.find(Text) != std::string::npos;
-  }
-};
+bool isForwarded(const std::string &Text) const {
+  return Forwarded_.find(Text) != std::string::npos;
+}
+}
+;
 
 TEST(WorkspaceFront, TargetGetsTheWorkspaceAndNeverTheKey) {
   useWorkspaces();
